Carry placement plans out: planner in the entries, lease and ledger in the agents

Cause: the decisions on placement had no drivers, so that models stayed where the deployment preloaded them. Change: entries elect a planner by a lease, look at every engine's agent, write the plan and send it out; agents hold their target's lease, keep the ledger, confirm the plan before an unload, and load adapters when a request wants one.

--- a/agent/agent/agent.go
+++ b/agent/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -10,8 +11,11 @@
 
 	"endiverill.example/agent/internal/engine"
 	"endiverill.example/kernel/instance"
+	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/link"
 	"endiverill.example/kernel/logs"
+	"endiverill.example/kernel/memory"
+	"endiverill.example/kernel/placement"
 	"endiverill.example/kernel/queue"
 	"endiverill.example/kernel/wire"
 )
@@ -29,6 +33,7 @@
 	queued   atomic.Int64
 	running  atomic.Int64
 	floor    control
+	hurry    chan struct{} // asks for an early look at the engine
 }
 
 // control is the state that only the control goroutine touches.
@@ -38,6 +43,12 @@
 	starters map[string]*oneTime
 	entries  map[string]time.Time // peer addresses of entries by last request
 	drained  []chan struct{}
+	offered  map[string]uint64 // tokens by model
+	lease    *lease.Lease
+	fence    uint64
+	ledger   *memory.Ledger
+	carrier  *placement.Carrier
+	assigned *wire.AssignRequest // that came before the carrier was there
 }
 
 // New builds an agent; it starts nothing.
@@ -47,11 +58,13 @@
 		Instance: base,
 		target:   values.String("agent.target"),
 		log:      base.Log("agent"),
+		hurry:    make(chan struct{}, 1),
 		client:   engine.New(values.String("agent.address"), values.Duration("agent.idle_timeout")),
 		floor: control{
 			queue:    queue.New(values.Int("agent.queue_limit")),
 			starters: map[string]*oneTime{},
 			entries:  map[string]time.Time{},
+			offered:  map[string]uint64{},
 		},
 	}
 	agent.slots.Store(int64(values.Int("agent.slots")))
@@ -78,7 +91,7 @@
 		return err
 	}
 	group.Go(func() error { return link.Serve(ctx, listener, agent.handlers()) })
-	group.Go(func() error { return agent.watchTarget(ctx) })
+	group.Go(func() error { return agent.carry(ctx) })
 	group.Go(func() error { return agent.sweep(ctx) })
 	agent.log.Infof("serves target %s on %s", agent.target, listener.Addr())
 	return group.Wait()
@@ -90,11 +103,16 @@
 		wire.CallRevoke: link.Unary(agent.handleRevoke),
 		wire.CallStatus: link.Unary(agent.handleStatus),
 		wire.CallConfig: agent.ConfigHandler(),
+		wire.CallAssign: link.Unary(agent.handleAssign),
 	}
 }
 
-func (agent *Agent) handleStatus(_ context.Context, _ *wire.StatusRequest) (*wire.Load, error) {
-	return agent.load(), nil
+func (agent *Agent) handleStatus(_ context.Context, request *wire.StatusRequest) (*wire.Load, error) {
+	load := agent.load()
+	if request.Detail {
+		agent.Control().Do(func() { agent.detail(load) })
+	}
+	return load, nil
 }
 
 // load returns what entries learn of the agent.
@@ -123,6 +141,7 @@
 	})
 	select {
 	case <-drained:
+		agent.releaseLease(ctx)
 		agent.log.Infof("is drained")
 		return nil
 	case <-ctx.Done():
@@ -170,37 +189,6 @@
 	agent.floor.drained = nil
 }
 
-// watchTarget asks the engine what it holds.
-func (agent *Agent) watchTarget(ctx context.Context) error {
-	if agent.Values().String("agent.kind") == "service" {
-		return nil
-	}
-	for ctx.Err() == nil {
-		state, err := agent.client.State()
-		if err != nil {
-			agent.Metrics().Add("engine.state_errors", 1)
-		} else {
-			agent.takeState(state)
-		}
-		select {
-		case <-agent.Clock().After(agent.Values().Duration("agent.state_interval")):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
-func (agent *Agent) takeState(state *engine.State) {
-	var ready []string
-	for _, resident := range state.Resident() {
-		if resident.Ready() {
-			ready = append(ready, resident.Name())
-		}
-	}
-	agent.resident.Store(&ready)
-	agent.slots.Store(int64(state.Slots()))
-}
-
 const sweepInterval = time.Second
 
 // sweep forgets settled one-time requests and entries that went silent.
@@ -233,3 +221,5 @@
 	agent.dispatch()
 	agent.checkDrained()
 }
+
+func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -41,7 +41,7 @@
 	received := agent.Clock().Now()
 	sink := &sink{stream: stream, request: request}
 	agent.Metrics().Add("requests", 1)
-	if err := agent.admit(request); err != nil {
+	if err := agent.admit(stream.Context(), request); err != nil {
 		return agent.refuse(sink, err)
 	}
 	if request.Idempotent {
@@ -64,7 +64,7 @@
 }
 
 // admit checks what the agent itself knows before a request is queued.
-func (agent *Agent) admit(request *wire.Request) *code.Fault {
+func (agent *Agent) admit(ctx context.Context, request *wire.Request) *code.Fault {
 	if agent.leaving.Load() {
 		return code.New(code.TargetLeaving, code.RanNo, "target %s is leaving", agent.target)
 	}
@@ -74,7 +74,7 @@
 	if err := agent.checkKey(request); err != nil {
 		return err
 	}
-	if request.Model != "" && !agent.holds(request) {
+	if request.Model != "" && !agent.holds(request) && !agent.ensureAdapter(ctx, request) {
 		return code.New(code.NoReplica, code.RanNo, "target %s does not hold %s now", agent.target, request.Model)
 	}
 	return nil
@@ -110,6 +110,7 @@
 	waiting := &ticket{grant: make(chan *code.Fault, 1)}
 	waiting.item = queue.NewItem(request.Customer, request.Weight, request.Priority, request.Tokens, latest, waiting)
 	agent.Control().Post(func() {
+		agent.use(request, received)
 		if request.Entry != "" {
 			agent.floor.entries[request.Entry] = received
 		}
@@ -127,6 +128,17 @@
 	}
 }
 
+// use counts the demand for a model and keeps its adapter from being evicted.
+func (agent *Agent) use(request *wire.Request, now time.Time) {
+	if request.Model == "" {
+		return
+	}
+	agent.floor.offered[request.Model] += uint64(request.Tokens)
+	if agent.floor.ledger != nil && request.Adapter != "" {
+		agent.floor.ledger.Use(request.Adapter, now)
+	}
+}
+
 // abandon takes a request whose entry went away out of the queue.
 func (agent *Agent) abandon(waiting *ticket) *code.Fault {
 	gone := code.New(code.CallerGone, code.RanNo, "the entry went away")
--- a/agent/agent/settings.go
+++ b/agent/agent/settings.go
@@ -20,6 +20,8 @@
 	table.Declare("agent.queue_limit", 256, setting.Between(1, 100000), "requests", "Requests that may wait before the target.")
 	table.Declare("agent.idle_timeout", 10*time.Second, setting.Lasting(100*time.Millisecond, time.Hour), "", "How long the target may send nothing within an answer.")
 	table.Declare("agent.state_interval", 250*time.Millisecond, setting.Lasting(10*time.Millisecond, time.Minute), "", "Time between two questions to the engine about what it holds.")
+	table.Declare("agent.lease", 30*time.Second, setting.Lasting(500*time.Millisecond, time.Hour), "", "Life of the target's lease when it is not renewed.")
+	table.Declare("agent.order_window", 5*time.Second, setting.Lasting(50*time.Millisecond, time.Minute), "", "Longest time that an order may take to reach the engine.")
 	table.Declare("agent.outcome_limit", 64<<10, setting.Between(0, 512<<10), "bytes", "Largest answer that is kept for repeats of a non-idempotent request.")
 	table.Declare("agent.outcome_retention", 10*time.Minute, setting.Lasting(time.Second, 24*time.Hour), "", "How long the agent itself answers for the fate of a request.")
 	table.Declare("agent.start_window", 10*time.Second, setting.Lasting(100*time.Millisecond, 10*time.Minute), "", "Longest time between an agent's receipt of a request and its start.")
--- a/endiverill/internal/deployment/deployment.go
+++ b/endiverill/internal/deployment/deployment.go
@@ -198,7 +198,10 @@
 	return nil
 }
 
-const adapterMB = 50
+const (
+	adapterMB      = 50
+	adaptersAtOnce = 25
+)
 
 // Document returns the configuration of the deployment as JSON.
 func (deployment *Deployment) Document() []byte {
@@ -223,11 +226,12 @@
 		targets[name] = map[string]any{
 			"kind": target.kind, "data_centre": target.dataCentre, "agent": target.agent, "address": target.address,
 			"memory_mb": target.memoryMB, "models": target.models, "service": target.service,
-			"checks_orders": spec.Profile.ChecksOrders,
+			"checks_orders": spec.Profile.ChecksOrders, "tokens_per_second": spec.capacity(),
 		}
 	}
 	data, err := json.Marshal(map[string]any{
 		"models": models, "adapters": adapters, "customers": customers, "keys": keys, "routes": spec.Routes, "targets": targets,
+		"weights": map[string]any{"loads_per_second": spec.WeightRate, "loads_at_once": spec.WeightSpeed, "adapters_at_once": adaptersAtOnce},
 	})
 	if err != nil {
 		panic(err)
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -26,6 +26,7 @@
 	policy      route.Policy
 	budget      *retry.Budget
 	quota       Quota
+	planner     *planner
 	snapshot    atomic.Pointer[snapshot]
 	server      *fasthttp.Server
 	peerAddress string
@@ -81,6 +82,10 @@
 	if err != nil {
 		return nil, err
 	}
+	entry.planner, err = newPlanner(entry)
+	if err != nil {
+		return nil, err
+	}
 	base.SetPeers(entry.configPeers)
 	base.Follower().OnInstall(entry.install)
 	return entry, nil
@@ -131,6 +136,7 @@
 	group.Go(func() error { return link.Serve(ctx, peers, entry.handlers()) })
 	group.Go(func() error { return entry.quota.Run(ctx) })
 	group.Go(func() error { return entry.pollTargets(ctx) })
+	group.Go(func() error { return entry.planner.run(ctx) })
 	group.Go(func() error { return errors.Wrap(entry.server.Serve(callers), "callers' listener") })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -150,6 +156,7 @@
 		wire.CallLeave:  link.Unary(entry.handleLeave),
 		wire.CallBorrow: link.Unary(entry.handleBorrow),
 		wire.CallShares: link.Unary(entry.handleShares),
+		wire.CallWanted: link.Unary(entry.handleWanted),
 	}
 }
 
@@ -163,6 +170,7 @@
 	entry.log.Infof("stops; %d requests are under way", entry.open.Load())
 	entry.pause(ctx, entry.Values().Duration("entry.farewell"))
 	go entry.quota.Leave(ctx)
+	go entry.planner.release(ctx)
 	err := entry.server.ShutdownWithContext(ctx)
 	for entry.open.Load() > 0 && ctx.Err() == nil {
 		entry.pause(ctx, drainPoll)
--- a/entry/entry/generate.go
+++ b/entry/entry/generate.go
@@ -120,6 +120,7 @@
 	current := entry.snapshot.Load()
 	replica, err := entry.pick(current, generation.group, &generation.pick)
 	if err != nil {
+		entry.wantModel(generation.request.Model)
 		return err
 	}
 	generation.pick.Tried.Add(replica)
--- a/kernel/config/check.go
+++ b/kernel/config/check.go
@@ -27,6 +27,7 @@
 	checker.keys()
 	checker.routes()
 	checker.targets()
+	checker.weights()
 	checker.residency()
 	return checker.faults
 }
@@ -41,6 +42,13 @@
 	}
 }
 
+func (checker *checker) weights() {
+	weights := checker.document.weights
+	if weights.loadsPerSecond <= 0 || weights.loadsAtOnce < 1 || weights.adaptersAtOnce < 1 {
+		checker.fault("weights: loads_per_second must be over 0, loads_at_once and adapters_at_once at least 1")
+	}
+}
+
 func (checker *checker) models() {
 	for _, model := range checker.document.Models() {
 		checker.name("models", model.name)
--- a/kernel/config/codec.go
+++ b/kernel/config/codec.go
@@ -22,6 +22,7 @@
 		Keys      map[string]wireKey      `json:"keys"`
 		Routes    map[string]wireRoute    `json:"routes"`
 		Targets   map[string]wireTarget   `json:"targets"`
+		Weights   wireWeights             `json:"weights"`
 	}
 	wireModel struct {
 		Version  string `json:"version"`
@@ -60,6 +61,12 @@
 		Models       []string `json:"models"`
 		Service      string   `json:"service"`
 		ChecksOrders bool     `json:"checks_orders"`
+		Capacity     float64  `json:"tokens_per_second"`
+	}
+	wireWeights struct {
+		LoadsPerSecond float64 `json:"loads_per_second"`
+		LoadsAtOnce    int     `json:"loads_at_once"`
+		AdaptersAtOnce int     `json:"adapters_at_once"`
 	}
 )
 
@@ -94,6 +101,9 @@
 		keys:       map[string]Key{},
 		keyIDs:     map[string]string{},
 		targets:    map[string]Target{},
+		weights: Weights{
+			loadsPerSecond: wire.Weights.LoadsPerSecond, loadsAtOnce: wire.Weights.LoadsAtOnce, adaptersAtOnce: wire.Weights.AdaptersAtOnce,
+		},
 	}
 	for name, model := range wire.Models {
 		document.models[name] = Model{name: name, version: model.Version, memory: model.MemoryMB * mebibyte, kvMemory: model.KVMB * mebibyte}
@@ -121,7 +131,7 @@
 		document.targets[name] = Target{
 			name: name, kind: TargetKind(target.Kind), dataCentre: target.DataCentre, agent: target.Agent,
 			address: target.Address, memory: target.MemoryMB * mebibyte, models: target.Models,
-			service: target.Service, checksOrders: target.ChecksOrders,
+			service: target.Service, checksOrders: target.ChecksOrders, capacity: target.Capacity,
 		}
 	}
 	sort.Slice(document.routes, func(i, j int) bool {
--- a/kernel/config/document.go
+++ b/kernel/config/document.go
@@ -20,8 +20,28 @@
 	keyIDs     map[string]string
 	routes     []Route
 	targets    map[string]Target
+	weights    Weights
 }
 
+// Weights are the limits of the weight store over the whole fleet.
+type Weights struct {
+	loadsPerSecond float64
+	loadsAtOnce    int
+	adaptersAtOnce int
+}
+
+// LoadsPerSecond returns how many model loads may start a second.
+func (weights Weights) LoadsPerSecond() float64 { return weights.loadsPerSecond }
+
+// LoadsAtOnce returns how many model loads may be under way.
+func (weights Weights) LoadsAtOnce() int { return weights.loadsAtOnce }
+
+// AdaptersAtOnce returns how many adapter loads may be under way.
+func (weights Weights) AdaptersAtOnce() int { return weights.adaptersAtOnce }
+
+// Weights returns the limits of the weight store.
+func (document *Document) Weights() Weights { return document.weights }
+
 // Model is a model that must stay reachable.
 type Model struct {
 	name     string
@@ -170,6 +190,7 @@
 	models       []string
 	service      string
 	checksOrders bool
+	capacity     float64
 }
 
 // Name returns the target's name.
@@ -200,6 +221,9 @@
 // number.
 func (target Target) ChecksOrders() bool { return target.checksOrders }
 
+// Capacity returns the tokens a second that the engine generates in all.
+func (target Target) Capacity() float64 { return target.capacity }
+
 // Generation returns the number of the configuration; a later one is higher.
 func (document *Document) Generation() uint64 { return document.generation }
 
--- /dev/null
+++ b/kernel/lease/driver.go
@@ -0,0 +1,65 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"endiverill.example/kernel/object"
+)
+
+// Driver carries out the effects of a Lease over the object API.
+type Driver struct {
+	Store   object.Store
+	Key     string
+	Timeout time.Duration
+	// Step runs the machine where its state belongs.
+	Step func(step func(lease *Lease, now time.Time) []Effect) []Effect
+}
+
+// CarryOut carries out effects and those that follow from them.
+func (driver Driver) CarryOut(ctx context.Context, effects []Effect) {
+	for len(effects) > 0 {
+		var next []Effect
+		switch effect := effects[0].(type) {
+		case Read:
+			next = driver.read(ctx)
+		case Write:
+			next = driver.write(ctx, effect)
+		}
+		effects = append(next, effects[1:]...)
+	}
+}
+
+func (driver Driver) read(ctx context.Context) []Effect {
+	ctx, cancel := context.WithTimeout(ctx, driver.Timeout)
+	defer cancel()
+	found, err := driver.Store.Get(ctx, "lease", driver.Key)
+	var record Record
+	if err == nil {
+		record, err = ParseRecord(found.Value())
+	}
+	failed := err != nil && !errors.Is(err, object.ErrNotFound)
+	return driver.Step(func(lease *Lease, now time.Time) []Effect {
+		return lease.ReadDone(now, record, found.Version(), failed)
+	})
+}
+
+func (driver Driver) write(ctx context.Context, write Write) []Effect {
+	ctx, cancel := context.WithTimeout(ctx, driver.Timeout)
+	defer cancel()
+	data, err := write.Record.Marshal()
+	if err != nil {
+		return nil
+	}
+	version, err := driver.Store.Update(ctx, "lease", driver.Key, data, write.Base)
+	result := Unknown
+	switch {
+	case err == nil:
+		result = Written
+	case errors.Is(err, object.ErrConflict):
+		result = Conflicted
+	}
+	return driver.Step(func(lease *Lease, now time.Time) []Effect { return lease.WriteDone(now, result, version) })
+}
--- a/kernel/memory/ledger.go
+++ b/kernel/memory/ledger.go
@@ -156,6 +156,20 @@
 	ledger.synced = ledger.synced || asked.After(ledger.openAt)
 }
 
+// Silent notes that the engine did not answer at now. Orders that reached it may
+// then be carried out later than usual, so that what hangs on them waits longer.
+func (ledger *Ledger) Silent(now time.Time) {
+	later := now.Add(ledger.window)
+	if !ledger.synced && later.After(ledger.openAt) {
+		ledger.openAt = later
+	}
+	for _, item := range ledger.items {
+		if (!item.seen || item.leaving) && later.After(item.quiet) {
+			item.quiet = later
+		}
+	}
+}
+
 func (ledger *Ledger) show(holding Holding, asked time.Time) {
 	item := ledger.items[holding.Name]
 	if item == nil {
--- a/kernel/placement/plan.go
+++ b/kernel/placement/plan.go
@@ -106,6 +106,17 @@
 	return plan, nil
 }
 
+// Key returns the object key of a site's plan.
+func Key(site string) string { return "placement/" + site + "/plan" }
+
+// PlannerKey returns the object key of a site's planner lease.
+func PlannerKey(site string) string { return "placement/" + site + "/planner" }
+
+// Written returns the plan as the object API holds it under a version.
+func (plan *Plan) Written(version uint64) *Plan {
+	return &Plan{version: version, fence: plan.fence, targets: plan.targets}
+}
+
 // Empty returns the plan before the first.
 func Empty() *Plan { return &Plan{targets: map[string][]string{}} }
 
--- a/kernel/wire/fields.go
+++ b/kernel/wire/fields.go
@@ -197,11 +197,15 @@
 
 func (statusRequest *StatusRequest) appendTo(writer *writer) {
 	writer.varint(1, statusRequest.Generation)
+	writer.flag(2, statusRequest.Detail)
 }
 
 func (statusRequest *StatusRequest) field(number protowire.Number, value value) {
-	if number == 1 {
+	switch number {
+	case 1:
 		statusRequest.Generation = value.number
+	case 2:
+		statusRequest.Detail = value.flag()
 	}
 }
 
@@ -219,6 +223,10 @@
 		writer.text(10, name)
 	}
 	writer.varint(11, load.Sequence)
+	writer.varint(12, load.Applied)
+	for index := range load.Offered {
+		writer.message(13, &load.Offered[index])
+	}
 }
 
 func (load *Load) field(number protowire.Number, value value) {
@@ -245,6 +253,55 @@
 		load.Resident = append(load.Resident, value.text())
 	case 11:
 		load.Sequence = value.number
+	case 12:
+		load.Applied = value.number
+	case 13:
+		var count ModelCount
+		if parse(value.bytes, &count) == nil {
+			load.Offered = append(load.Offered, count)
+		}
+	}
+}
+
+func (modelCount *ModelCount) appendTo(writer *writer) {
+	writer.text(1, modelCount.Model)
+	writer.varint(2, modelCount.Tokens)
+}
+
+func (modelCount *ModelCount) field(number protowire.Number, value value) {
+	switch number {
+	case 1:
+		modelCount.Model = value.text()
+	case 2:
+		modelCount.Tokens = value.number
+	}
+}
+
+func (assignRequest *AssignRequest) appendTo(writer *writer) {
+	writer.varint(1, assignRequest.Version)
+	for _, name := range assignRequest.Models {
+		writer.text(2, name)
+	}
+}
+
+func (assignRequest *AssignRequest) field(number protowire.Number, value value) {
+	switch number {
+	case 1:
+		assignRequest.Version = value.number
+	case 2:
+		assignRequest.Models = append(assignRequest.Models, value.text())
+	}
+}
+
+func (wantedRequest *WantedRequest) appendTo(writer *writer) {
+	for _, name := range wantedRequest.Models {
+		writer.text(1, name)
+	}
+}
+
+func (wantedRequest *WantedRequest) field(number protowire.Number, value value) {
+	if number == 1 {
+		wantedRequest.Models = append(wantedRequest.Models, value.text())
 	}
 }
 
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -14,6 +14,8 @@
 	CallLeave  = "/peer/leave"
 	CallBorrow = "/peer/borrow"
 	CallShares = "/peer/shares"
+	CallAssign = "/agent/assign"
+	CallWanted = "/peer/wanted"
 )
 
 // Header is one HTTP header that goes on to a target or back to a caller.
@@ -121,6 +123,7 @@
 // StatusRequest asks an agent for its load.
 type StatusRequest struct {
 	Generation uint64
+	Detail     bool // also what planners need
 }
 
 // Load is what an agent reports of itself and its target.
@@ -136,6 +139,25 @@
 	FreeMemory  int64
 	Resident    []string // models and adapters that can serve now
 	Sequence    uint64
+	Applied     uint64       // version of the plan that the agent goes by
+	Offered     []ModelCount // tokens offered since the agent's start
+}
+
+// ModelCount is a count of tokens of a model.
+type ModelCount struct {
+	Model  string
+	Tokens uint64
+}
+
+// AssignRequest tells an agent which models its target is to hold.
+type AssignRequest struct {
+	Version uint64 // of the plan
+	Models  []string
+}
+
+// WantedRequest tells the planner of models that requests wait for.
+type WantedRequest struct {
+	Models []string
 }
 
 // ConfigRequest asks a peer for its configuration when that is newer than
