Plan for places instead of tokens, and end an agent whose queue still has waiters

Cause: demand was counted in reserved tokens and capacity in generated ones, so that every target looked overloaded and the planner moved nothing. A killed agent waited for ever on requests in its queue, which hung one test run in six. Change: demand is the place time that requests ask for, by the agent's own mean; a waiter gives up when the control goroutine has ended; agents' ports of test deployments lie outside the range of outgoing connections.

--- a/agent/agent/agent.go
+++ b/agent/agent/agent.go
@@ -43,7 +43,8 @@
 	starters map[string]*oneTime
 	entries  map[string]time.Time // peer addresses of entries by last request
 	drained  []chan struct{}
-	offered  map[string]uint64 // tokens by model
+	offered  map[string]uint64        // work that entries asked for, by model, in milliseconds of a place
+	means    map[string]time.Duration // place time of a request, by model
 	lease    *lease.Lease
 	fence    uint64
 	ledger   *memory.Ledger
@@ -65,6 +66,7 @@
 			starters: map[string]*oneTime{},
 			entries:  map[string]time.Time{},
 			offered:  map[string]uint64{},
+			means:    map[string]time.Duration{},
 		},
 	}
 	agent.slots.Store(int64(values.Int("agent.slots")))
--- a/agent/agent/carry.go
+++ b/agent/agent/carry.go
@@ -259,8 +259,8 @@
 	if agent.floor.carrier != nil {
 		load.Applied = agent.floor.carrier.Applied(agent.Clock().Now())
 	}
-	for model, tokens := range agent.floor.offered {
-		load.Offered = append(load.Offered, wire.ModelCount{Model: model, Tokens: tokens})
+	for model, work := range agent.floor.offered {
+		load.Offered = append(load.Offered, wire.ModelCount{Model: model, Work: work})
 	}
 }
 
--- a/agent/agent/onetime.go
+++ b/agent/agent/onetime.go
@@ -47,7 +47,7 @@
 	}
 	begun := agent.Clock().Now()
 	agent.drive(sink, tracked)
-	agent.free(request.Tokens, begun)
+	agent.free(request, begun)
 	return nil
 }
 
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -128,12 +128,21 @@
 	}
 }
 
+const (
+	firstMean  = 200 * time.Millisecond // place time of a request of a model never served
+	meanSmooth = 0.1                    // weight of the newest request
+)
+
 // use counts the demand for a model and keeps its adapter from being evicted.
 func (agent *Agent) use(request *wire.Request, now time.Time) {
 	if request.Model == "" {
 		return
 	}
-	agent.floor.offered[request.Model] += uint64(request.Tokens)
+	mean, known := agent.floor.means[request.Model]
+	if !known {
+		mean = firstMean
+	}
+	agent.floor.offered[request.Model] += uint64(mean.Milliseconds())
 	if agent.floor.ledger != nil && request.Adapter != "" {
 		agent.floor.ledger.Use(request.Adapter, now)
 	}
@@ -142,13 +151,17 @@
 // abandon takes a request whose entry went away out of the queue.
 func (agent *Agent) abandon(waiting *ticket) *code.Fault {
 	gone := code.New(code.CallerGone, code.RanNo, "the entry went away")
-	agent.Control().Do(func() {
+	running := agent.Control().Do(func() {
 		if agent.floor.queue.Cancel(waiting.item) {
 			waiting.grant <- gone
 			agent.queued.Store(int64(agent.floor.queue.Len()))
 			agent.checkDrained()
 		}
 	})
+	if !running {
+		// The agent has ended, and nobody grants places any more.
+		return gone
+	}
 	return <-waiting.grant
 }
 
@@ -170,12 +183,17 @@
 	agent.running.Store(int64(floor.busy))
 }
 
-// free gives a place back after work of so many tokens.
-func (agent *Agent) free(tokens int, begun time.Time) {
+// free gives a place back and learns how long the request held it.
+func (agent *Agent) free(request *wire.Request, begun time.Time) {
 	elapsed := agent.Clock().Now().Sub(begun)
 	agent.Control().Post(func() {
 		agent.floor.busy--
-		agent.floor.queue.Observe(tokens, int(agent.slots.Load()), elapsed)
+		mean, known := agent.floor.means[request.Model]
+		if !known {
+			mean = elapsed
+		}
+		agent.floor.means[request.Model] = mean + time.Duration(meanSmooth*float64(elapsed-mean))
+		agent.floor.queue.Observe(request.Tokens, int(agent.slots.Load()), elapsed)
 		agent.dispatch()
 		agent.checkDrained()
 	})
@@ -187,7 +205,7 @@
 		return agent.refuse(sink, err)
 	}
 	begun := agent.Clock().Now()
-	defer agent.free(sink.request.Tokens, begun)
+	defer agent.free(sink.request, begun)
 	if err := sink.send(&wire.Frame{Kind: wire.FrameStarted}); err != nil {
 		return err
 	}
--- a/endiverill/internal/deployment/deployment.go
+++ b/endiverill/internal/deployment/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -52,6 +53,8 @@
 	service    string
 	memoryMB   int64
 	models     []string
+	listener   net.Listener // reserved for the first agent
+	handed     bool
 }
 
 // EntryProcess is a running entry.
@@ -183,21 +186,42 @@
 	return deployment.reservePorts()
 }
 
+// The ports of agents, which must be free again after a restart, lie below those
+// that outgoing connections take.
+const (
+	firstAgentPort = 18000
+	lastAgentPort  = 32000
+)
+
 // reservePorts gives each agent an address that is known before it runs.
 func (deployment *Deployment) reservePorts() error {
+	port := firstAgentPort + rand.IntN(lastAgentPort-firstAgentPort)
 	for _, target := range deployment.targets {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		target.agent = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			return err
+		for target.listener == nil {
+			port++
+			if port > lastAgentPort {
+				port = firstAgentPort
+			}
+			listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				continue
+			}
+			target.listener, target.agent = listener, listener.Addr().String()
 		}
 	}
 	return nil
 }
 
+// agentListener returns the reserved listener at first, and a new one on the
+// same port after a restart.
+func (placeOf *placeOf) agentListener() (net.Listener, error) {
+	if listener := placeOf.listener; !placeOf.handed {
+		placeOf.handed = true
+		return listener, nil
+	}
+	return listenAgain(placeOf.agent)
+}
+
 const (
 	adapterMB      = 50
 	adaptersAtOnce = 25
@@ -226,7 +250,7 @@
 		targets[name] = map[string]any{
 			"kind": target.kind, "data_centre": target.dataCentre, "agent": target.agent, "address": target.address,
 			"memory_mb": target.memoryMB, "models": target.models, "service": target.service,
-			"checks_orders": spec.Profile.ChecksOrders, "tokens_per_second": spec.capacity(),
+			"checks_orders": spec.Profile.ChecksOrders,
 		}
 	}
 	data, err := json.Marshal(map[string]any{
@@ -270,7 +294,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listenAgain(place.agent)
+	listener, err := place.agentListener()
 	if err != nil {
 		return err
 	}
--- a/endiverill/internal/deployment/spec.go
+++ b/endiverill/internal/deployment/spec.go
@@ -55,14 +55,6 @@
 
 const mebibyte = 1 << 20
 
-// capacity returns the tokens a second that an engine of the spec generates.
-func (spec Spec) capacity() float64 {
-	if spec.Profile.TokenTime <= 0 {
-		return 0
-	}
-	return float64(spec.Profile.Slots) / spec.Profile.TokenTime.Seconds()
-}
-
 // Demo returns the small deployment of the demonstration: two entries, four
 // targets that share six models and two adapters, and one plain service.
 func Demo() Spec {
--- /dev/null
+++ b/endiverill/internal/measure/fault.go
@@ -0,0 +1,93 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"endiverill.example/endiverill/internal/deployment"
+	"endiverill.example/standin/store"
+)
+
+// Fault is one step of a script of faults.
+type Fault struct {
+	at     time.Duration
+	action string
+	target string
+}
+
+type wireFault struct {
+	At     string `json:"at"`
+	Action string `json:"action"`
+	Target string `json:"target"`
+}
+
+// actions are the faults that a script can name.
+var actions = map[string]func(running *deployment.Deployment, target string) error{
+	"kill-agent":  killAgent,
+	"start-agent": func(running *deployment.Deployment, target string) error { return running.StartAgent(target) },
+	"store-down": func(running *deployment.Deployment, _ string) error {
+		running.Store().SetFaults(store.Faults{Down: true})
+		return nil
+	},
+	"store-up": func(running *deployment.Deployment, _ string) error {
+		running.Store().SetFaults(store.Faults{})
+		return nil
+	},
+	"lose-answers": func(running *deployment.Deployment, _ string) error {
+		running.Store().SetFaults(store.Faults{LoseAnswer: 0.3})
+		return nil
+	},
+}
+
+func killAgent(running *deployment.Deployment, target string) error {
+	agent := running.Agent(target)
+	if agent == nil {
+		return errors.Newf("no agent of target %q runs", target)
+	}
+	agent.Kill()
+	return nil
+}
+
+// LoadFaults reads a script: a JSON list of {"at": "3s", "action": NAME,
+// "target": NAME}.
+func LoadFaults(path string) ([]Fault, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read faults")
+	}
+	var rows []wireFault
+	if err := json.Unmarshal(data, &rows); err != nil {
+		return nil, errors.Wrapf(err, "%s", path)
+	}
+	var faults []Fault
+	for index, row := range rows {
+		at, err := time.ParseDuration(row.At)
+		if err != nil {
+			return nil, errors.Newf("%s: fault %d: at: %q is not a duration", path, index, row.At)
+		}
+		if actions[row.Action] == nil {
+			return nil, errors.Newf("%s: fault %d: action %q is unknown; known are kill-agent, lose-answers, start-agent, store-down, store-up", path, index, row.Action)
+		}
+		faults = append(faults, Fault{at: at, action: row.Action, target: row.Target})
+	}
+	return faults, nil
+}
+
+// inject carries a script out.
+func inject(ctx context.Context, running *deployment.Deployment, faults []Fault) {
+	begun := time.Now()
+	for _, fault := range faults {
+		select {
+		case <-time.After(time.Until(begun.Add(fault.at))):
+		case <-ctx.Done():
+			return
+		}
+		if err := actions[fault.action](running, fault.target); err != nil {
+			return
+		}
+	}
+}
--- a/endiverill/internal/promise/promise_test.go
+++ b/endiverill/internal/promise/promise_test.go
@@ -21,7 +21,7 @@
 func start(t *testing.T, change func(spec *deployment.Spec)) (*deployment.Deployment, deployment.Spec) {
 	t.Helper()
 	spec := deployment.Demo()
-	spec.LogLevel = "error"
+	spec.LogLevel = testLogLevel
 	if change != nil {
 		change(&spec)
 	}
@@ -87,3 +87,5 @@
 }
 
 func name(prefix string, index int) string { return fmt.Sprintf("%s-%d", prefix, index) }
+
+const testLogLevel = "info"
--- a/entry/entry/placing.go
+++ b/entry/entry/placing.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	defaultCapacity = 1000.0 // tokens a second of a target that declares none
 	wantedTime      = 3 * time.Second
 	maxCredit       = 4.0 // loads that may start at once after a quiet time
 )
@@ -44,12 +43,8 @@
 
 func (planner *planner) target(target config.Target) *placement.Target {
 	seen := planner.seen[target.Name()]
-	capacity := target.Capacity()
-	if capacity <= 0 {
-		capacity = defaultCapacity
-	}
 	return &placement.Target{
-		Name: target.Name(), DataCentre: target.DataCentre(), Memory: target.Memory(), Capacity: capacity,
+		Name: target.Name(), DataCentre: target.DataCentre(), Memory: target.Memory(), Capacity: float64(seen.slots),
 		Live: seen.live, Applied: seen.applied, Ready: seen.ready, Pinned: target.Models(),
 	}
 }
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -27,7 +27,7 @@
 	lease    *lease.Lease // guarded by mu
 	wanted   map[string]time.Time
 	forecast *placement.Forecast
-	demand   map[string]float64 // tokens a second in this round
+	demand   map[string]float64 // places that each model needs, in this round
 	plan     *placement.Plan
 	seen     map[string]*seenAgent
 	credit   float64 // loads that may start now
@@ -41,6 +41,7 @@
 	incarnation uint64
 	applied     uint64
 	ready       []string
+	slots       int
 	offered     map[string]uint64
 	live        bool
 }
@@ -236,7 +237,7 @@
 	}
 	offered := map[string]uint64{}
 	for _, count := range load.Offered {
-		offered[count.Model] = count.Tokens
+		offered[count.Model] = count.Work
 	}
 	if seen.incarnation != load.Incarnation {
 		seen.offered = nil
@@ -244,7 +245,7 @@
 	planner.observe(seen, offered, now)
 	slices.Sort(load.Resident)
 	seen.at, seen.incarnation, seen.applied, seen.ready = now, load.Incarnation, load.Applied, load.Resident
-	seen.offered = offered
+	seen.offered, seen.slots = offered, load.Slots
 	seen.live = !load.Leaving
 }
 
@@ -252,13 +253,14 @@
 // elsewhere.
 const targetSilence = 3 * time.Second
 
-// observe adds the tokens offered since the last look to the round's demand.
+// observe adds the work offered since the last look to the round's demand.
 func (planner *planner) observe(seen *seenAgent, offered map[string]uint64, now time.Time) {
 	elapsed := now.Sub(seen.at).Seconds()
 	if seen.offered == nil || elapsed <= 0 {
 		return
 	}
-	for model, tokens := range offered {
-		planner.demand[model] += float64(tokens-min(seen.offered[model], tokens)) / elapsed
+	for model, work := range offered {
+		busy := time.Duration(work-min(seen.offered[model], work)) * time.Millisecond
+		planner.demand[model] += busy.Seconds() / elapsed
 	}
 }
--- a/kernel/config/codec.go
+++ b/kernel/config/codec.go
@@ -61,7 +61,6 @@
 		Models       []string `json:"models"`
 		Service      string   `json:"service"`
 		ChecksOrders bool     `json:"checks_orders"`
-		Capacity     float64  `json:"tokens_per_second"`
 	}
 	wireWeights struct {
 		LoadsPerSecond float64 `json:"loads_per_second"`
@@ -131,7 +130,7 @@
 		document.targets[name] = Target{
 			name: name, kind: TargetKind(target.Kind), dataCentre: target.DataCentre, agent: target.Agent,
 			address: target.Address, memory: target.MemoryMB * mebibyte, models: target.Models,
-			service: target.Service, checksOrders: target.ChecksOrders, capacity: target.Capacity,
+			service: target.Service, checksOrders: target.ChecksOrders,
 		}
 	}
 	sort.Slice(document.routes, func(i, j int) bool {
--- a/kernel/config/document.go
+++ b/kernel/config/document.go
@@ -190,7 +190,6 @@
 	models       []string
 	service      string
 	checksOrders bool
-	capacity     float64
 }
 
 // Name returns the target's name.
@@ -221,9 +220,6 @@
 // number.
 func (target Target) ChecksOrders() bool { return target.checksOrders }
 
-// Capacity returns the tokens a second that the engine generates in all.
-func (target Target) Capacity() float64 { return target.capacity }
-
 // Generation returns the number of the configuration; a later one is higher.
 func (document *Document) Generation() uint64 { return document.generation }
 
--- a/kernel/instance/instance.go
+++ b/kernel/instance/instance.go
@@ -62,7 +62,7 @@
 		incarnation: xxhash.Sum64String(uuid.NewString()) | 1,
 		metrics:     metrics,
 		store:       open(values.String("store.address"), count),
-		links:       link.NewPool(),
+		links:       link.NewPool(func(call string, bytes int) { metrics.Add("bytes."+call, int64(bytes)) }),
 		control:     loop.New(),
 	}
 	instance.peers = func() []string { return values.Strings("peers") }
--- a/kernel/link/link.go
+++ b/kernel/link/link.go
@@ -42,12 +42,34 @@
 
 // Pool keeps connections to peers.
 type Pool struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	count func(call string, bytes int)
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+// counting is an encoding that reports the size of each message.
+type counting struct {
+	wire.Encoding
+	call  string
+	count func(call string, bytes int)
+}
+
+// Marshal returns the encoded form of msg.
+func (counting counting) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := counting.Encoding.Marshal(msg)
+	counting.count(counting.call, len(data))
+	return data, err
+}
+
+// Unmarshal reads the encoded form of msg.
+func (counting counting) Unmarshal(data []byte, msg drpc.Message) error {
+	counting.count(counting.call, len(data))
+	return counting.Encoding.Unmarshal(data, msg)
+}
+
+// NewPool returns a pool without connections. Count learns the bytes of each
+// message of a call with one answer, in both directions.
+func NewPool(count func(call string, bytes int)) *Pool {
+	return &Pool{count: count, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleExpiry, Capacity: connsInAll, KeyCapacity: connsPerPeer,
 	})}
 }
@@ -70,7 +92,7 @@
 
 // Invoke makes a call with one answer.
 func (pool *Pool) Invoke(ctx context.Context, address, call string, in, out wire.Message) error {
-	return pool.conn(ctx, address).Invoke(ctx, call, wire.Encoding{}, in, out)
+	return pool.conn(ctx, address).Invoke(ctx, call, counting{call: call, count: pool.count}, in, out)
 }
 
 // Open sends a request and returns the stream of its answer.
--- a/kernel/placement/draft.go
+++ b/kernel/placement/draft.go
@@ -9,7 +9,7 @@
 	targets  map[string]*Target
 	models   map[string]*Model
 	room     map[string]int64
-	load     map[string]float64 // tokens a second
+	load     map[string]float64 // places taken
 	replicas map[string][]string
 	loading  int // loads under way or added
 	started  int // loads added
--- a/kernel/placement/forecast.go
+++ b/kernel/placement/forecast.go
@@ -26,7 +26,7 @@
 // NewForecast returns a forecast that has seen nothing.
 func NewForecast() *Forecast { return &Forecast{models: map[string]*average{}} }
 
-// Observe takes the demand for a model, in tokens a second, at now.
+// Observe takes the demand for a model, in places, at now.
 func (forecast *Forecast) Observe(model string, demand float64, now time.Time) {
 	seen := forecast.models[model]
 	if seen == nil {
@@ -43,7 +43,7 @@
 	return 1 - math.Exp(-elapsed.Seconds()/memory.Seconds())
 }
 
-// Demand returns the demand to plan for, in tokens a second.
+// Demand returns the demand to plan for, in places.
 func (forecast *Forecast) Demand(model string) float64 {
 	seen := forecast.models[model]
 	if seen == nil {
--- a/kernel/placement/plan.go
+++ b/kernel/placement/plan.go
@@ -125,7 +125,7 @@
 	Name       string
 	DataCentre string
 	Memory     int64    // bytes
-	Capacity   float64  // tokens a second
+	Capacity   float64  // places for requests
 	Live       bool     // its agent answers
 	Applied    uint64   // version of the plan that its agent goes by
 	Ready      []string // models that can serve, sorted
@@ -142,7 +142,7 @@
 type Model struct {
 	Name      string
 	Footprint int64   // bytes of a replica
-	Demand    float64 // tokens a second
+	Demand    float64 // places that its requests take
 	Wanted    bool    // requests wait for it now
 }
 
--- a/kernel/wire/fields.go
+++ b/kernel/wire/fields.go
@@ -265,7 +265,7 @@
 
 func (modelCount *ModelCount) appendTo(writer *writer) {
 	writer.text(1, modelCount.Model)
-	writer.varint(2, modelCount.Tokens)
+	writer.varint(2, modelCount.Work)
 }
 
 func (modelCount *ModelCount) field(number protowire.Number, value value) {
@@ -273,7 +273,7 @@
 	case 1:
 		modelCount.Model = value.text()
 	case 2:
-		modelCount.Tokens = value.number
+		modelCount.Work = value.number
 	}
 }
 
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -140,13 +140,14 @@
 	Resident    []string // models and adapters that can serve now
 	Sequence    uint64
 	Applied     uint64       // version of the plan that the agent goes by
-	Offered     []ModelCount // tokens offered since the agent's start
+	Offered     []ModelCount // work offered since the agent's start
 }
 
-// ModelCount is a count of tokens of a model.
+// ModelCount is the work that was asked of a model, in milliseconds for which
+// it takes one of the target's places.
 type ModelCount struct {
-	Model  string
-	Tokens uint64
+	Model string
+	Work  uint64
 }
 
 // AssignRequest tells an agent which models its target is to hold.
