Count as loads only what is not resident yet

Cause: a new plan that adopted 20 models already resident was charged 20 loads, so that at 1.5 loads a second the planner stood still for 13 s. Change: adopting a ready replica costs no load, neither in the draft nor in the credit.

--- a/endiverill/internal/command/measure.go
+++ b/endiverill/internal/command/measure.go
@@ -34,6 +34,7 @@
 			&cli.Float64Flag{Name: "demand", Value: 1, Usage: "factor on the demand"},
 			&cli.Float64Flag{Name: "engines", Value: 1, Usage: "factor on the number of engines"},
 			&cli.StringFlag{Name: "faults", Usage: "JSON `FILE` with a script of faults"},
+			&cli.StringFlag{Name: "log", Value: "error", Usage: "least level of the instances' log lines"},
 			&cli.StringFlag{Name: "write", Usage: "`FOLDER` in which to write a dated Markdown table"},
 		},
 		Action: runMeasure,
@@ -51,7 +52,7 @@
 }
 
 func runMeasure(ctx context.Context, command *cli.Command) error {
-	options := measure.Options{Duration: fullDuration, Seed: command.Uint64("seed"), Demand: command.Float64("demand"), Engines: command.Float64("engines")}
+	options := measure.Options{Duration: fullDuration, Seed: command.Uint64("seed"), Demand: command.Float64("demand"), Engines: command.Float64("engines"), LogLevel: command.String("log")}
 	if command.Bool("quick") {
 		options.Duration = quickDuration
 	}
--- a/endiverill/internal/measure/measure.go
+++ b/endiverill/internal/measure/measure.go
@@ -44,6 +44,7 @@
 	Demand   float64 // factor on the deployment's demand
 	Engines  float64 // factor on the deployment's number of engines
 	Faults   []Fault
+	LogLevel string
 }
 
 // Result is one row of the measurement.
--- a/endiverill/internal/measure/sizes.go
+++ b/endiverill/internal/measure/sizes.go
@@ -52,7 +52,7 @@
 			Slots: slots, TokenTime: tokenTime, PrefillTime: 100 * time.Millisecond, LoadTime: loadTime,
 			AdapterTime: 10 * time.Millisecond, CacheBlocks: 2048, LoadLag: 200 * time.Millisecond,
 		},
-		WeightRate: size.weightRate, WeightSpeed: size.weightSpeed, Seed: options.Seed, LogLevel: "error",
+		WeightRate: size.weightRate, WeightSpeed: size.weightSpeed, Seed: options.Seed, LogLevel: options.LogLevel,
 		Entry: map[string]any{"placement.plugin": policy.placement, "entry.routing": policy.routing, "quota.plugin": policy.quota, "quota.fixed_entries": size.entries, "entry.deadline": 10 * time.Second},
 	}
 	for index := range size.dataCentres {
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -189,7 +189,8 @@
 func (planner *planner) spend(next *placement.Plan) {
 	for _, target := range next.Targets() {
 		for _, model := range next.Models(target) {
-			if !planner.plan.Has(target, model) {
+			seen := planner.seen[target]
+			if !planner.plan.Has(target, model) && (seen == nil || !slices.Contains(seen.ready, model)) {
 				planner.credit--
 			}
 		}
--- a/kernel/placement/draft.go
+++ b/kernel/placement/draft.go
@@ -92,6 +92,9 @@
 	draft.replicas[model.Name] = append(draft.replicas[model.Name], target)
 	draft.room[target] -= model.Footprint
 	draft.spread(model, 1)
+	if draft.targets[target].ready(model.Name) {
+		return
+	}
 	draft.loading++
 	draft.started++
 }
