--- /dev/null
+++ b/agent/agent/status.go
@@ -0,0 +1,47 @@
+package agent
+
+// agentStatus is what operators see of an agent.
+type agentStatus struct {
+	Instance   string       `json:"instance"`
+	Role       string       `json:"role"`
+	Target     string       `json:"target"`
+	Generation uint64       `json:"generation"`
+	AgeSeconds float64      `json:"confirmed_seconds_ago"`
+	Queued     int          `json:"queued"`
+	Running    int          `json:"running"`
+	Leaving    bool         `json:"leaving"`
+	Fence      uint64       `json:"fence"`
+	Plan       uint64       `json:"plan_version"`
+	FreeBytes  int64        `json:"free_bytes"`
+	Items      []itemStatus `json:"items"`
+}
+
+type itemStatus struct {
+	Name    string `json:"name"`
+	Bytes   int64  `json:"bytes"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+}
+
+func (agent *Agent) status() agentStatus {
+	load := agent.load()
+	status := agentStatus{
+		Instance: agent.Name(), Role: "agent", Target: agent.target, Generation: load.Generation,
+		Queued: load.Queued, Running: load.Running, Leaving: load.Leaving, AgeSeconds: -1,
+	}
+	if confirmed := agent.Follower().Confirmed(); !confirmed.IsZero() {
+		status.AgeSeconds = agent.Clock().Now().Sub(confirmed).Seconds()
+	}
+	agent.Control().Do(func() {
+		if agent.floor.ledger == nil {
+			return
+		}
+		status.Fence = agent.floor.fence
+		status.Plan = agent.floor.carrier.Applied(agent.Clock().Now())
+		status.FreeBytes = agent.floor.ledger.Free()
+		for _, item := range agent.floor.ledger.Items() {
+			status.Items = append(status.Items, itemStatus{Name: item.Name(), Bytes: item.Footprint(), Ready: item.Ready(), Leaving: item.Leaving()})
+		}
+	})
+	return status
+}
--- /dev/null
+++ b/endiverill/internal/command/ask.go
@@ -0,0 +1,128 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func init() {
+	register(statusVerb)
+	register(explainVerb)
+}
+
+const askTimeout = 3 * time.Second
+
+var instancesFlag = &cli.StringSliceFlag{Name: "instance", Usage: "operators' `ADDRESS` of an instance; give it once for each", Required: true}
+
+// ask gets JSON from the operators' listener of an instance.
+func ask(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "instance %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotFound {
+		return errNotKnown
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrapf(err, "instance %s", address)
+	}
+	return json.Unmarshal(data, into)
+}
+
+var errNotKnown = errors.New("the instance does not know it")
+
+func statusVerb() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show each instance's generation, its age and its state",
+		Flags: []cli.Flag{instancesFlag, jsonFlag},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			rows := []map[string]any{}
+			silent := 0
+			for _, address := range command.StringSlice("instance") {
+				row := map[string]any{}
+				if err := ask(ctx, address, "/status", &row); err != nil {
+					row = map[string]any{"instance": address, "error": err.Error()}
+					silent++
+				}
+				rows = append(rows, row)
+			}
+			if command.Bool("json") {
+				return json.NewEncoder(os.Stdout).Encode(rows)
+			}
+			printRows(rows, []string{"instance", "role", "target", "generation", "confirmed_seconds_ago", "share", "planner", "plan_version", "leaving", "error"})
+			if silent > 0 {
+				return errors.Newf("%d instances gave no answer", silent)
+			}
+			return nil
+		},
+	}
+}
+
+func printRows(rows []map[string]any, columns []string) {
+	writer := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(columns, "\t"))
+	for _, row := range rows {
+		cells := make([]string, 0, len(columns))
+		for _, column := range columns {
+			cell := ""
+			if value, found := row[column]; found {
+				cell = fmt.Sprint(value)
+			}
+			cells = append(cells, cell)
+		}
+		fmt.Fprintln(writer, strings.Join(cells, "\t"))
+	}
+	_ = writer.Flush()
+}
+
+func explainVerb() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say why: request ID | model NAME | customer NAME", ArgsUsage: "KIND NAME",
+		Flags: []cli.Flag{instancesFlag},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			kind, name := command.Args().Get(0), command.Args().Get(1)
+			if kind != "request" && kind != "model" && kind != "customer" || name == "" {
+				return errors.Newf("explain takes a kind (request, model or customer) and a name, not %q %q", kind, name)
+			}
+			known := false
+			for _, address := range command.StringSlice("instance") {
+				var answer any
+				err := ask(ctx, address, "/explain/"+kind+"/"+name, &answer)
+				if errors.Is(err, errNotKnown) {
+					continue
+				}
+				if err != nil {
+					return err
+				}
+				known = true
+				data, err := json.MarshalIndent(answer, "", "  ")
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%s says\n%s\n", address, data)
+			}
+			if !known {
+				return errors.Newf("no instance knows %s %s", kind, name)
+			}
+			return nil
+		},
+	}
+}
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -27,6 +27,7 @@
 	budget      *retry.Budget
 	quota       Quota
 	planner     *planner
+	recall      *recall
 	snapshot    atomic.Pointer[snapshot]
 	server      *fasthttp.Server
 	peerAddress string
@@ -64,6 +65,7 @@
 		log:      base.Log("entry"),
 		policy:   policy,
 		budget:   retry.NewBudget(),
+		recall:   newRecall(),
 		members:  member.NewTable(),
 		replicas: map[string]*route.Replica{},
 		limits: limits{
@@ -88,6 +90,7 @@
 	}
 	base.SetPeers(entry.configPeers)
 	base.Follower().OnInstall(entry.install)
+	entry.handleOperators()
 	return entry, nil
 }
 
--- a/entry/entry/generate.go
+++ b/entry/entry/generate.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"endiverill.example/kernel/burn"
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/route"
 	"endiverill.example/kernel/wire"
@@ -27,6 +28,9 @@
 	cancel    context.CancelFunc
 	ticket    *ticket
 	untrack   func()
+	pace      pace
+	targets   []string
+	fault     *code.Fault
 }
 
 func (entry *Entry) handleGenerate(ctx *fasthttp.RequestCtx, current *snapshot) *code.Fault {
@@ -49,6 +53,8 @@
 	if err := entry.quota.Reserve(call.customer.Name(), generation.prompt.reserved()); err != nil {
 		generation.untrack()
 		generation.cancel()
+		generation.fault = err
+		generation.remember()
 		return err
 	}
 	entry.budget.Request()
@@ -107,6 +113,7 @@
 	}
 	generation.untrack()
 	generation.cancel()
+	generation.remember()
 	used := 0
 	if generation.generated > 0 {
 		used = generation.prompt.tokens + generation.generated
@@ -114,6 +121,24 @@
 	generation.entry.quota.Refund(generation.call.customer.Name(), generation.prompt.reserved()-used)
 }
 
+// remember keeps how the request was served, for explanations and burn.
+func (generation *generation) remember() {
+	entry := generation.entry
+	now := entry.Clock().Now()
+	result, ran := code.OK, code.RanYes
+	if generation.fault != nil {
+		result, ran = generation.fault.Code(), generation.fault.Ran()
+	}
+	entry.recall.add(&decision{
+		ID: generation.call.id, At: now, Customer: generation.call.customer.Name(), Key: generation.call.keyID,
+		Model: generation.prompt.name, Targets: generation.targets, Tokens: generation.generated,
+		Code: result.String(), Ran: ran.String(), Generation: generation.request.Generation,
+		FirstToken: generation.pace.first.String(),
+	})
+	key := burn.Key{Customer: generation.call.customer.Name(), Model: generation.prompt.name}
+	entry.recall.measure(key, generation.pace.cause(generation.fault), now)
+}
+
 // open dispatches the request to the next target.
 func (generation *generation) open() *code.Fault {
 	entry := generation.entry
@@ -124,6 +149,7 @@
 		return err
 	}
 	generation.pick.Tried.Add(replica)
+	generation.targets = append(generation.targets, replica.Name())
 	generation.tries++
 	generation.request.Generation = current.document.Generation()
 	generation.request.ResumeFrom = uint64(generation.generated)
@@ -186,6 +212,7 @@
 func (generation *generation) unary(ctx *fasthttp.RequestCtx) *code.Fault {
 	whole, err := generation.collect()
 	if err != nil {
+		generation.fault = err
 		return err
 	}
 	generation.generated = generation.prompt.maxTokens
@@ -240,6 +267,7 @@
 func (generation *generation) stream(ctx *fasthttp.RequestCtx) *code.Fault {
 	first, err := generation.nextEvent()
 	if err != nil {
+		generation.fault = err
 		generation.finish()
 		return err
 	}
@@ -282,6 +310,7 @@
 			return
 		}
 		generation.generated++
+		generation.pace.token(generation.call.begun, generation.entry.Clock().Now())
 		var err *code.Fault
 		frame, err = generation.nextEvent()
 		if err != nil {
@@ -301,6 +330,7 @@
 	if err.Code() != code.KeyWithdrawn && err.Code() != code.DeadlinePassed {
 		err = code.New(code.StreamCut, code.RanYes, "the answer was cut off after %d tokens: %s", generation.generated, err.Message())
 	}
+	generation.fault = err
 	generation.entry.countError(err)
 	_, _ = writer.WriteString("event: error\n")
 	writeEvent(writer, errorBody(err.WithRan(code.RanYes), generation.call.id))
--- /dev/null
+++ b/entry/entry/operators.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"time"
+
+	"endiverill.example/kernel/quota"
+)
+
+type replicaStatus struct {
+	Target     string  `json:"target"`
+	DataCentre string  `json:"data_centre"`
+	Load       float64 `json:"load"`
+	Ejected    bool    `json:"ejected"`
+	Own        int64   `json:"own_requests"`
+}
+
+type modelStatus struct {
+	Model    string          `json:"model"`
+	Replicas []replicaStatus `json:"replicas"`
+	Planned  []string        `json:"planned,omitempty"` // known to the entry that plans
+	Demand   float64         `json:"demand_places,omitempty"`
+	Planner  string          `json:"planner"`
+}
+
+type customerStatus struct {
+	Customer string  `json:"customer"`
+	Rate     float64 `json:"tokens_per_second"`
+	Burst    int64   `json:"burst_tokens"`
+	Share    float64 `json:"share_of_entry"`
+	Level    float64 `json:"tokens_at_entry"`
+}
+
+// handleOperators answers the operators' questions about this entry.
+func (entry *Entry) handleOperators() {
+	entry.Operators("/status", func(string) any { return entry.status() })
+	entry.Operators("/explain/request/", func(id string) any {
+		if found := entry.recall.find(id); found != nil {
+			return found
+		}
+		return nil
+	})
+	entry.Operators("/explain/model/", func(name string) any { return entry.explainModel(name) })
+	entry.Operators("/explain/customer/", func(name string) any { return entry.explainCustomer(name) })
+	entry.Operators("/burn", func(string) any { return entry.recall.rows(entry.Clock().Now()) })
+}
+
+type entryStatus struct {
+	Instance   string  `json:"instance"`
+	Role       string  `json:"role"`
+	Generation uint64  `json:"generation"`
+	AgeSeconds float64 `json:"confirmed_seconds_ago"`
+	Targets    int     `json:"targets"`
+	Requests   int64   `json:"requests_under_way"`
+	Share      float64 `json:"share"`
+	Planner    string  `json:"planner"`
+	Stopping   bool    `json:"stopping"`
+}
+
+func (entry *Entry) status() entryStatus {
+	status := entryStatus{
+		Instance: entry.Name(), Role: "entry", Targets: entry.Targets(), Requests: entry.open.Load(),
+		Share: float64(entry.quota.Units()) / quota.TotalUnits, Planner: entry.planner.address(), Stopping: entry.Stopping(),
+		AgeSeconds: -1,
+	}
+	if document := entry.Follower().Document(); document != nil {
+		status.Generation = document.Generation()
+	}
+	if confirmed := entry.Follower().Confirmed(); !confirmed.IsZero() {
+		status.AgeSeconds = entry.Clock().Now().Sub(confirmed).Round(time.Millisecond).Seconds()
+	}
+	return status
+}
+
+func (entry *Entry) explainModel(name string) any {
+	current := entry.snapshot.Load()
+	if current == nil {
+		return nil
+	}
+	if _, _, declared := current.document.Resolve(name); !declared {
+		return nil
+	}
+	status := modelStatus{Model: name, Planner: entry.planner.address()}
+	status.Planned, status.Demand = entry.planner.explain(name)
+	now := entry.Clock().Now()
+	if group := current.groups[name]; group != nil {
+		for _, replica := range group.Replicas() {
+			status.Replicas = append(status.Replicas, replicaStatus{
+				Target: replica.Name(), DataCentre: replica.DataCentre(), Load: replica.Load(now),
+				Ejected: replica.Ejected(now), Own: replica.Own(),
+			})
+		}
+	}
+	return status
+}
+
+func (entry *Entry) explainCustomer(name string) any {
+	document := entry.Follower().Document()
+	if document == nil {
+		return nil
+	}
+	customer, declared := document.Customer(name)
+	if !declared {
+		return nil
+	}
+	return customerStatus{
+		Customer: name, Rate: customer.Rate(), Burst: customer.Burst(),
+		Share: float64(entry.quota.Units()) / quota.TotalUnits, Level: entry.quota.Level(name),
+	}
+}
--- a/entry/entry/placing.go
+++ b/entry/entry/placing.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	wantedTime      = 3 * time.Second
-	maxCredit       = 4.0 // loads that may start at once after a quiet time
+	wantedTime = 3 * time.Second
+	maxCredit  = 4.0 // loads that may start at once after a quiet time
 )
 
 // input is what the policy goes by in this round.
@@ -71,6 +71,32 @@
 	}
 }
 
+// explain returns the targets that are to hold a model and its demand in places,
+// if this entry plans.
+func (planner *planner) explain(model string) (targets []string, demand float64) {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	return planner.placed[model], planner.demands[model]
+}
+
+// publish keeps what explanations show of a round.
+func (planner *planner) publish(input *placement.Input) {
+	placed, demands := map[string][]string{}, map[string]float64{}
+	if planner.plan != nil {
+		for _, target := range planner.plan.Targets() {
+			for _, model := range planner.plan.Models(target) {
+				placed[model] = append(placed[model], target)
+			}
+		}
+	}
+	for _, model := range input.Models {
+		demands[model.Name] = model.Demand
+	}
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	planner.placed, planner.demands = placed, demands
+}
+
 // want notes that requests wait for a model that no target holds.
 func (planner *planner) want(models []string) {
 	planner.mu.Lock()
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -33,6 +33,8 @@
 	credit   float64 // loads that may start now
 	credited time.Time
 	fence    uint64
+	placed   map[string][]string // targets by model, guarded by mu
+	demands  map[string]float64  // places by model, guarded by mu
 }
 
 // seenAgent is what the planner last heard of a target's agent.
@@ -141,6 +143,7 @@
 	if !next.Equal(planner.plan) && planner.holds() {
 		planner.write(ctx, next)
 	}
+	planner.publish(input)
 	planner.send(ctx, document)
 }
 
--- a/entry/entry/quota.go
+++ b/entry/entry/quota.go
@@ -24,6 +24,10 @@
 	Refund(customer string, tokens int)
 	// Lend takes tokens out for another entry and returns how many.
 	Lend(customer string, tokens int) int
+	// Units returns the entry's part of every rate, of quota.TotalUnits.
+	Units() int64
+	// Level returns a customer's tokens at this entry.
+	Level(customer string) float64
 	// Peers returns the addresses of the entries that hold shares.
 	Peers() []string
 	// Changed says that another entry gave units up or is short of them.
@@ -118,6 +122,20 @@
 	return missing, err
 }
 
+// Level returns a customer's tokens at this entry.
+func (limiter *limiter) Level(customer string) float64 {
+	level := 0.0
+	limiter.with(func(inner *quota.Limiter, now time.Time) { level = inner.Level(customer, now) })
+	return level
+}
+
+// Units returns the entry's part of every rate.
+func (limiter *limiter) Units() int64 {
+	units := int64(0)
+	limiter.with(func(inner *quota.Limiter, now time.Time) { units = inner.Units(now) })
+	return units
+}
+
 // fixed gives every entry the same part of each rate, whatever it needs.
 type fixed struct {
 	*limiter
--- a/kernel/config/apply.go
+++ b/kernel/config/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 
@@ -70,7 +71,56 @@
 	if err := applier.writeDocument(ctx, hash, rendered); err != nil {
 		return Head{}, err
 	}
-	return applier.writeHead(ctx, NewHead(current.generation+1, hash, applier.Operator, patch), version)
+	head, err := applier.writeHead(ctx, NewHead(current.generation+1, hash, applier.Operator, patch), version)
+	if err == nil {
+		applier.keepHistory(ctx, head)
+	}
+	return head, err
+}
+
+func historyPrefix(site string) string { return "config/" + site + "/history/" }
+
+// keepHistory notes an accepted head. A note that is lost costs a line of the
+// history, not the configuration.
+func (applier Applier) keepHistory(ctx context.Context, head Head) {
+	key := fmt.Sprintf("%s%012d", historyPrefix(applier.Site), head.generation)
+	_, _ = applier.Store.Create(ctx, "operator", key, NewHead(head.generation, head.hash, head.operator, nil).Marshal())
+}
+
+// History returns the heads that were accepted, the oldest first.
+func (applier Applier) History(ctx context.Context) ([]Head, error) {
+	objects, err := applier.Store.List(ctx, "operator", historyPrefix(applier.Site))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the history")
+	}
+	var heads []Head
+	for _, object := range objects {
+		head, err := ParseHead(object.Value())
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
+
+// Rollback makes the document of an earlier generation the next one.
+func (applier Applier) Rollback(ctx context.Context, generation uint64) (Head, error) {
+	heads, err := applier.History(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	for _, head := range heads {
+		if head.generation != generation {
+			continue
+		}
+		document, err := applier.Store.Get(ctx, "operator", DocumentKey(applier.Site, head.hash))
+		if err != nil {
+			return Head{}, errors.Wrapf(err, "read the document of generation %d", generation)
+		}
+		return applier.Apply(ctx, document.Value(), AnyGeneration)
+	}
+	return Head{}, errors.Newf("generation %d is not in the history", generation)
 }
 
 func (applier Applier) writeDocument(ctx context.Context, hash string, rendered []byte) error {
--- a/kernel/config/check.go
+++ b/kernel/config/check.go
@@ -185,7 +185,8 @@
 func (checker *checker) residency() {
 	free := map[string]int64{}
 	pinned := map[string]bool{}
-	for _, target := range checker.document.Targets() {
+	targets := checker.document.Targets()
+	for _, target := range targets {
 		if target.kind != Engine {
 			continue
 		}
@@ -198,7 +199,7 @@
 	models := checker.document.Models()
 	sortByFootprint(models)
 	for _, model := range models {
-		if pinned[model.name] || takeRoom(free, checker.document.Targets(), model.Footprint()) {
+		if pinned[model.name] || takeRoom(free, targets, model.Footprint()) {
 			continue
 		}
 		checker.fault("models.%s: %d MiB cannot be resident in the memory that the targets have left", model.name, model.Footprint()/mebibyte)
--- a/kernel/instance/instance.go
+++ b/kernel/instance/instance.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"expvar"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +45,7 @@
 	control     *loop.Loop
 	follower    *follow.Follower
 	peers       func() []string
+	questions   map[string]func(rest string) any
 }
 
 // New builds an instance of a role from checked settings. It starts nothing.
@@ -64,6 +67,7 @@
 		store:       open(values.String("store.address"), count),
 		links:       link.NewPool(func(call string, bytes int) { metrics.Add("bytes."+call, int64(bytes)) }),
 		control:     loop.New(),
+		questions:   map[string]func(rest string) any{},
 	}
 	instance.peers = func() []string { return values.Strings("peers") }
 	instance.follower = follow.New(follow.Options{
@@ -138,6 +142,13 @@
 	})
 }
 
+// Operators answers GET requests for paths under prefix on the operators'
+// listener, as JSON. The answer gets the rest of the path; nil is not found. It
+// must be called before Start.
+func (instance *Instance) Operators(prefix string, answer func(rest string) any) {
+	instance.questions[prefix] = answer
+}
+
 // Start runs the control loop, the follower and the operators' listener in
 // group until ctx ends.
 func (instance *Instance) Start(ctx context.Context, group *errgroup.Group) error {
@@ -157,6 +168,17 @@
 func (instance *Instance) serveOperators(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	for prefix, answer := range instance.questions {
+		mux.HandleFunc(prefix, func(writer http.ResponseWriter, request *http.Request) {
+			found := answer(strings.TrimPrefix(request.URL.Path, prefix))
+			if found == nil {
+				http.NotFound(writer, request)
+				return
+			}
+			writer.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(writer).Encode(found)
+		})
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/kernel/quota/limiter.go
+++ b/kernel/quota/limiter.go
@@ -258,6 +258,9 @@
 	}
 }
 
+// Units returns the units that count at now.
+func (limiter *Limiter) Units(now time.Time) int64 { return limiter.parts.units(now) }
+
 // Level returns a customer's tokens at this entry, borrowed ones included.
 func (limiter *Limiter) Level(customer string, now time.Time) float64 {
 	limit, ok := limiter.limits(customer)
--- /dev/null
+++ b/kernel/route/policy_test.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPoliciesNeverEmptyAGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, name := range []string{"affinity", "least-loaded", "random", "round-robin"} {
+		t.Run(name, func(t *testing.T) {
+			policy, err := NewPolicy(name)
+			assert.NilError(t, err)
+			group := groupOf(3)
+			for _, replica := range group.Replicas() {
+				for range ejectAfter {
+					replica.Failed(now)
+				}
+				assert.Assert(t, replica.Ejected(now))
+			}
+			request := &Request{Prefix: 5}
+			for range 3 {
+				picked := policy.Pick(request, group, now)
+				assert.Assert(t, picked != nil, "ejection emptied the group")
+				assert.Assert(t, !request.Tried.Has(picked), "a replica was tried twice")
+				request.Tried.Add(picked)
+			}
+			assert.Assert(t, policy.Pick(request, group, now) == nil)
+		})
+	}
+}
+
+func TestAffinityKeepsPrefixesUntilBusy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	group := groupOf(20)
+	first := Affinity{}.Pick(&Request{Prefix: 42}, group, now)
+	assert.Equal(t, first.DataCentre(), "dc-0", "the local data centre comes first")
+	for range 4 {
+		assert.Equal(t, Affinity{}.Pick(&Request{Prefix: 42}, group, now).Name(), first.Name())
+	}
+	for range 8 {
+		first.Begin()
+	}
+	assert.Assert(t, Affinity{}.Pick(&Request{Prefix: 42}, group, now).Name() != first.Name(), "a busy replica is passed over")
+}
+
+func TestUnknownPolicyNamesTheKnown(t *testing.T) {
+	_, err := NewPolicy("fastest")
+	assert.ErrorContains(t, err, `"fastest" is unknown; known are affinity, least-loaded, random, round-robin`)
+}
