--- /dev/null
+++ b/endiverill/internal/command/capacity.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"endiverill.example/endiverill/internal/measure"
+)
+
+func init() { register(capacityVerb) }
+
+func capacityVerb() *cli.Command {
+	return &cli.Command{
+		Name: "capacity", Usage: "measure what control costs an idle deployment at four sizes",
+		Action: func(context.Context, *cli.Command) error {
+			headings := []string{"entries", "engines", "entry bytes/s", "planner bytes/s", "% of a core an instance", "MiB an instance", "store reads/s", "store writes/s", "config calls/s", "quota calls/s", "lease calls/s", "placement calls/s"}
+			var rows [][]string
+			for _, size := range measure.CapacitySizes {
+				slope, err := measure.Capacity(size.Entries, size.Engines)
+				if err != nil {
+					return err
+				}
+				row := []string{fmt.Sprint(slope.Entries), fmt.Sprint(slope.Engines)}
+				for _, figure := range []float64{
+					slope.EntryBytes, slope.PlanBytes, slope.CPU, slope.Heap, slope.StoreReads, slope.StoreWrites["all"],
+					slope.StoreWrites["config"], slope.StoreWrites["quota"], slope.StoreWrites["lease"], slope.StoreWrites["placement"],
+				} {
+					row = append(row, fmt.Sprintf("%.2f", figure))
+				}
+				rows = append(rows, row)
+			}
+			fmt.Print(markdown(headings, rows))
+			return nil
+		},
+	}
+}
--- a/endiverill/internal/deployment/watch.go
+++ b/endiverill/internal/deployment/watch.go
@@ -13,9 +13,10 @@
 )
 
 // Instances returns how many entries and agents were started.
-func (deployment *Deployment) Instances() int { return len(deployment.instances()) }
+func (deployment *Deployment) Instances() int { return len(deployment.All()) }
 
-func (deployment *Deployment) instances() []*instance.Instance {
+// All returns every entry and agent that was started.
+func (deployment *Deployment) All() []*instance.Instance {
 	deployment.mu.Lock()
 	defer deployment.mu.Unlock()
 	var all []*instance.Instance
@@ -32,7 +33,7 @@
 // requests and their answers.
 func (deployment *Deployment) ControlBytes() int64 {
 	total := int64(0)
-	for _, one := range deployment.instances() {
+	for _, one := range deployment.All() {
 		total += controlBytes(one.Metrics())
 	}
 	return total
@@ -53,7 +54,7 @@
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
 		behind := 0
-		for _, one := range deployment.instances() {
+		for _, one := range deployment.All() {
 			if document := one.Follower().Document(); document == nil || document.Generation() < generation {
 				behind++
 			}
--- /dev/null
+++ b/endiverill/internal/golden/golden_test.go
@@ -0,0 +1,41 @@
+// Package golden holds the generated pages of the docs to the code.
+package golden
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/golden"
+
+	"endiverill.example/agent/agent"
+	"endiverill.example/endiverill/internal/page"
+	"endiverill.example/entry/entry"
+	"endiverill.example/kernel/code"
+
+	"gotest.tools/v3/assert"
+)
+
+// Run 'go test ./internal/golden -update' in endiverill to write the pages anew.
+func TestGeneratedPages(t *testing.T) {
+	var codes strings.Builder
+	codes.WriteString("# Result codes\n\nEvery answer carries its code in `Endiverill-Code`, and in `Endiverill-Ran` whether the request ran: `no`, `yes` or `unknown`.\n\n| code | name | HTTP status | meaning |\n| --- | --- | --- | --- |\n")
+	for _, row := range code.Table() {
+		fmt.Fprintf(&codes, "| %d | %s | %d | %s |\n", row.Code(), row.Name(), row.Status(), row.Meaning())
+	}
+	settings := "# Settings\n\nA settings file is one JSON object from names to values; durations are written as \"250ms\". Unknown names and values out of bounds are refused, all faults of a file together.\n\n## entry\n\n" +
+		entry.Settings().Markdown() + "\n## agent\n\n" + agent.Settings().Markdown()
+	golden.Assert(t, codes.String(), "../../../../docs/CODES.md")
+	golden.Assert(t, settings, "../../../../docs/SETTINGS.md")
+}
+
+func TestEveryPageHasATitle(t *testing.T) {
+	topics, err := page.Topics()
+	assert.NilError(t, err)
+	assert.Assert(t, len(topics) > 5)
+	for _, topic := range topics {
+		text, err := page.Read(topic)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(text, "# "), topic)
+	}
+}
--- a/entry/entry/operators.go
+++ b/entry/entry/operators.go
@@ -34,10 +34,11 @@
 func (entry *Entry) handleOperators() {
 	entry.Operators("/status", func(string) any { return entry.status() })
 	entry.Operators("/explain/request/", func(id string) any {
-		if found := entry.recall.find(id); found != nil {
-			return found
+		found, kept := entry.recall.find(id)
+		if !kept {
+			return nil
 		}
-		return nil
+		return found
 	})
 	entry.Operators("/explain/model/", func(name string) any { return entry.explainModel(name) })
 	entry.Operators("/explain/customer/", func(name string) any { return entry.explainCustomer(name) })
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -216,7 +216,9 @@
 			defer func() { <-places }()
 			load := &wire.Load{}
 			planner.entry.Metrics().Add("placement.asks", 1)
-			if planner.entry.Links().Invoke(ctx, target.Agent(), wire.CallStatus, &wire.StatusRequest{Detail: true}, load) == nil {
+			size, err := planner.entry.Links().InvokeSized(ctx, target.Agent(), wire.CallStatus, &wire.StatusRequest{Detail: true}, load)
+			planner.entry.Metrics().Add("planner.bytes", int64(size))
+			if err == nil {
 				loads[index] = load
 			}
 		})
--- a/entry/entry/recall.go
+++ b/entry/entry/recall.go
@@ -57,11 +57,12 @@
 	recall.next = (recall.next + 1) % recalled
 }
 
-// find returns the decision on a request, nil when it is not kept.
-func (recall *recall) find(id string) *decision {
+// find returns the decision on a request, if it is still kept.
+func (recall *recall) find(id string) (*decision, bool) {
 	recall.mu.Lock()
 	defer recall.mu.Unlock()
-	return recall.byID[id]
+	found, kept := recall.byID[id]
+	return found, kept
 }
 
 // measure counts a request towards its service level.
--- a/kernel/link/link.go
+++ b/kernel/link/link.go
@@ -95,6 +95,17 @@
 	return pool.conn(ctx, address).Invoke(ctx, call, counting{call: call, count: pool.count}, in, out)
 }
 
+// InvokeSized is Invoke that also returns the bytes of both messages.
+func (pool *Pool) InvokeSized(ctx context.Context, address, call string, in, out wire.Message) (int, error) {
+	size := 0
+	count := func(call string, bytes int) {
+		size += bytes
+		pool.count(call, bytes)
+	}
+	err := pool.conn(ctx, address).Invoke(ctx, call, counting{call: call, count: count}, in, out)
+	return size, err
+}
+
 // Open sends a request and returns the stream of its answer.
 func (pool *Pool) Open(ctx context.Context, address, call string, in wire.Message) (drpc.Stream, error) {
 	stream, err := pool.conn(ctx, address).NewStream(ctx, call, wire.Encoding{})
--- /dev/null
+++ b/kernel/wire/codec_test.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"gotest.tools/v3/assert"
+)
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	encoding := Encoding{}
+	request := &Request{
+		ID: "id", Nonce: "n", Customer: "c", KeyID: "k", Generation: 7, Model: "m", Adapter: "a", Method: "POST", Path: "/x?y=1",
+		Headers: []Header{{"A", "1"}, {"B", ""}}, Body: []byte{0, 1, 2}, BodyHash: "h", Idempotent: true, Stream: true, Priority: -3,
+		Weight: 2, Tokens: 9, Timeout: 5, Incarnation: 1 << 63, StartBy: 6, Base: 8, ResumeFrom: 10, Entry: "e",
+	}
+	frame := &Frame{
+		ID: "id", Nonce: "n", Position: 3, Kind: FrameError, Status: 200, Headers: []Header{{"A", "1"}}, Data: []byte("d"), Code: 1301,
+		Ran: 1, Message: "m", RetryAfter: 4, Tokens: 1, Record: 5,
+		Load: &Load{Target: "t", Incarnation: 2, Leaving: true, Resident: []string{"a", "b"}, Offered: []ModelCount{{"m", 5}}, FreeMemory: 9, Applied: 4},
+	}
+	for _, test := range []struct{ in, out Message }{{request, &Request{}}, {frame, &Frame{}}} {
+		data, err := encoding.Marshal(test.in)
+		assert.NilError(t, err)
+		// A later release's field is skipped.
+		data = protowire.AppendTag(data, 900, protowire.BytesType)
+		data = protowire.AppendString(data, "new")
+		assert.NilError(t, encoding.Unmarshal(data, test.out))
+		assert.DeepEqual(t, test.in, test.out)
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	encoding := Encoding{}
+	seed, err := encoding.Marshal(&Frame{ID: "id", Kind: FrameData, Data: []byte("x"), Load: &Load{Target: "t", Resident: []string{"m"}}})
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte{0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Add([]byte{0x08})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame := &Frame{}
+		if encoding.Unmarshal(data, frame) != nil {
+			return
+		}
+		again, err := encoding.Marshal(frame)
+		assert.NilError(t, err)
+		other := &Frame{}
+		assert.NilError(t, encoding.Unmarshal(again, other))
+	})
+}
