--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -206,9 +206,6 @@
 	}
 	begun := agent.Clock().Now()
 	defer agent.free(sink.request, begun)
-	if err := sink.send(&wire.Frame{Kind: wire.FrameStarted}); err != nil {
-		return err
-	}
 	stop := context.AfterFunc(ctx, func() { agent.client.Cancel(sink.request.Nonce) })
 	defer stop()
 	if sink.request.Stream {
@@ -263,6 +260,11 @@
 const bodyFrameBytes = 256 << 10 // body bytes in one frame
 
 func (agent *Agent) sendAnswer(sink *sink, answer *engine.Answer) error {
+	if len(answer.Body()) <= bodyFrameBytes {
+		return sink.send(&wire.Frame{
+			Kind: wire.FrameWhole, Status: answer.Status(), Headers: answer.Headers(), Data: answer.Body(), Load: agent.load(),
+		})
+	}
 	if err := sink.send(&wire.Frame{Kind: wire.FrameHead, Status: answer.Status(), Headers: answer.Headers()}); err != nil {
 		return err
 	}
--- a/endiverill/internal/deployment/deployment.go
+++ b/endiverill/internal/deployment/deployment.go
@@ -380,7 +380,7 @@
 	for time.Now().Before(limit) {
 		ready := true
 		for _, process := range deployment.Entries() {
-			ready = ready && process.Targets() == len(deployment.targets)
+			ready = ready && process.Targets() == len(deployment.targets) && deployment.servesAll(process)
 		}
 		if ready {
 			return nil
@@ -390,6 +390,18 @@
 	return errors.Newf("the deployment was not ready after %v", readyTimeout)
 }
 
+// servesAll says whether an entry knows of every model that engines start with.
+func (deployment *Deployment) servesAll(process *EntryProcess) bool {
+	for _, declared := range deployment.spec.Engines {
+		for _, name := range declared.Models {
+			if !process.Serves(name) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Entries returns the entries that were started.
 func (deployment *Deployment) Entries() []*EntryProcess {
 	deployment.mu.Lock()
--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -80,7 +80,7 @@
 	if frame.Kind == wire.FrameError {
 		return frame, attempt.frameError(frame)
 	}
-	if frame.Kind == wire.FrameEnd || frame.Kind == wire.FrameHead {
+	if frame.Kind == wire.FrameEnd || frame.Kind == wire.FrameHead || frame.Kind == wire.FrameWhole {
 		attempt.replica.Succeeded()
 	}
 	return frame, nil
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -198,3 +198,9 @@
 
 // Stopping says whether a planned stop has begun.
 func (entry *Entry) Stopping() bool { return entry.stopping.Load() }
+
+// Serves says whether some target serves a model or adapter now.
+func (entry *Entry) Serves(name string) bool {
+	current := entry.snapshot.Load()
+	return current != nil && current.groups[name] != nil
+}
--- a/entry/entry/generate.go
+++ b/entry/entry/generate.go
@@ -241,17 +241,25 @@
 			whole = &answer{}
 		}
 		source = generation.current
-		switch frame.Kind {
-		case wire.FrameHead:
-			whole.status, whole.headers = frame.Status, frame.Headers
-		case wire.FrameData:
-			whole.body = append(whole.body, frame.Data...)
-		case wire.FrameEnd:
+		if whole.add(frame) {
 			return whole, nil
 		}
 	}
 }
 
+// add takes a frame and says whether it was the last.
+func (answer *answer) add(frame *wire.Frame) bool {
+	if frame.Kind == wire.FrameHead || frame.Kind == wire.FrameWhole {
+		answer.status, answer.headers = frame.Status, frame.Headers
+	}
+	if answer.body == nil {
+		answer.body = frame.Data
+	} else {
+		answer.body = append(answer.body, frame.Data...)
+	}
+	return frame.Kind == wire.FrameEnd || frame.Kind == wire.FrameWhole
+}
+
 func writeAnswer(ctx *fasthttp.RequestCtx, whole *answer, target string) {
 	ctx.SetStatusCode(whole.status)
 	for _, header := range whole.headers {
--- a/entry/entry/plain.go
+++ b/entry/entry/plain.go
@@ -125,12 +125,7 @@
 		if err != nil {
 			return nil, frame, err
 		}
-		switch frame.Kind {
-		case wire.FrameHead:
-			whole.status, whole.headers = frame.Status, frame.Headers
-		case wire.FrameData:
-			whole.body = append(whole.body, frame.Data...)
-		case wire.FrameEnd:
+		if whole.add(frame) {
 			return whole, nil, nil
 		}
 	}
--- a/entry/entry/settings.go
+++ b/entry/entry/settings.go
@@ -49,7 +49,7 @@
 	table.Declare("quota.plugin", "shares", setting.OneOf(func() []string { return plugin.Names(plugin.Quota) }), "", "Plug-in that holds customers to their rates.")
 	table.Declare("quota.fixed_entries", 8, setting.Between(1, 10000), "entries", "Number of parts that the plug-in fixed divides rates into.")
 	table.Declare("quota.hold", 4*time.Second, setting.Lasting(200*time.Millisecond, time.Hour), "", "Life of a dynamic share that is not renewed.")
-	table.Declare("quota.hold_per_entry", 250*time.Millisecond, setting.Lasting(0, time.Minute), "", "Added to quota.hold for each entry.")
+	table.Declare("quota.hold_per_entry", 500*time.Millisecond, setting.Lasting(0, time.Minute), "", "Added to quota.hold for each entry.")
 	table.Declare("quota.standing_hold", 15*time.Minute, setting.Lasting(time.Second, 24*time.Hour), "", "Life of a standing share that is not renewed.")
 	table.Declare("quota.standing_percent", 50, setting.Between(0, 100), "%", "Part of all rates that standing shares may hold.")
 	table.Declare("quota.seasoning", time.Minute, setting.Lasting(0, 24*time.Hour), "", "Age at which an entry takes a standing share.")
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -56,11 +56,11 @@
 
 // The kinds of frames of an answer, in the order in which they come.
 const (
-	FrameStarted FrameKind = iota + 1
-	FrameHead
+	FrameHead FrameKind = iota + 1
 	FrameData
 	FrameEnd
 	FrameError
+	FrameWhole // head, data and end of an answer that fits into one frame
 )
 
 // Frame is one piece of an answer. ID, Nonce and Position tie it to its
