Keep withdrawn keys withdrawn through apply and rollback; measure shares under skew and outage

Cause: run as separate processes, applying the base file once more dropped a granted key, and a file from before a withdrawal would have brought the key back. The measurement knew no skewed balancer and ended when the object API was down.

--- a/endiverill/internal/deployment/watch.go
+++ b/endiverill/internal/deployment/watch.go
@@ -81,7 +81,9 @@
 // WithdrawKey withdraws a key and returns the new generation.
 func (deployment *Deployment) WithdrawKey(id string) (uint64, error) {
 	return deployment.edit(func(document map[string]any) {
-		document["keys"].(map[string]any)[id].(map[string]any)["withdrawn"] = true
+		if key, granted := document["keys"].(map[string]any)[id].(map[string]any); granted {
+			key["withdrawn"] = true
+		}
 	})
 }
 
--- a/endiverill/internal/load/load.go
+++ b/endiverill/internal/load/load.go
@@ -43,6 +43,7 @@
 	Tokens    int     // generated on average
 	Shift     bool    // the popular models change places half way, as demand moves tenfold
 	OneTime   float64 // part of the requests that are registrations
+	Skew      float64 // part of the requests that go to the first entry whatever the balancer does
 	Seed      uint64
 }
 
@@ -106,6 +107,9 @@
 			tokens: 1 + int(random.ExpFloat64()*float64(plan.Tokens)), prompt: prompt(random, rank),
 		}
 		next.tokens = min(next.tokens, 4*plan.Tokens)
+		if random.Float64() < plan.Skew {
+			next.address = 0
+		}
 		if random.Float64() < plan.OneTime {
 			next.kind = oneTime
 		}
--- a/endiverill/internal/measure/sizes.go
+++ b/endiverill/internal/measure/sizes.go
@@ -37,7 +37,7 @@
 	tokenTime     = 8 * time.Millisecond
 	loadTime      = 1500 * time.Millisecond
 	meanUse       = 250.0 // tokens that a request uses on average, prompt included
-	rateHeadroom  = 3.0   // of a customer's rate over its mean use
+	rateHeadroom  = 3.0   // of a customer's rate over its mean use, by default
 	burstSeconds  = 6.0   // of a customer's rate that it may use at once
 )
 
@@ -53,7 +53,7 @@
 			AdapterTime: 10 * time.Millisecond, CacheBlocks: 2048, LoadLag: 200 * time.Millisecond,
 		},
 		WeightRate: size.weightRate, WeightSpeed: size.weightSpeed, Seed: options.Seed, LogLevel: options.LogLevel,
-		Entry: map[string]any{"placement.plugin": policy.placement, "entry.routing": policy.routing, "quota.plugin": policy.quota, "quota.fixed_entries": size.entries, "entry.deadline": 10 * time.Second},
+		Entry: map[string]any{"placement.plugin": policy.placement, "entry.routing": policy.routing, "quota.plugin": policy.quota, "quota.fixed_entries": size.entries, "entry.deadline": 10 * time.Second, "quota.seasoning": time.Second},
 	}
 	for index := range size.dataCentres {
 		spec.DataCentres = append(spec.DataCentres, fmt.Sprintf("dc-%d", index+1))
@@ -76,7 +76,11 @@
 		spec.Services = append(spec.Services, "records")
 	}
 	for index, share := range size.shares {
-		rate := share * size.rate * options.Demand * meanUse * rateHeadroom
+		headroom := options.Headroom
+		if headroom <= 0 {
+			headroom = rateHeadroom
+		}
+		rate := share * size.rate * options.Demand * meanUse * headroom
 		name := fmt.Sprintf("customer-%d", index+1)
 		spec.Customers[name] = deployment.Customer{Rate: rate, Burst: int64(rate * burstSeconds), Weight: 1, Models: []string{"*"}, Routes: []string{"*"}}
 		spec.Keys[name] = "measured-key-of-" + name
@@ -87,7 +91,7 @@
 // plan returns the load of a run.
 func (size size) plan(spec deployment.Spec, running *deployment.Deployment, options Options) load.Plan {
 	plan := load.Plan{
-		Rate: size.rate * options.Demand, Duration: options.Duration, Tokens: meanTokens, Shift: true, OneTime: 0.05, Seed: options.Seed,
+		Rate: size.rate * options.Demand, Duration: options.Duration, Tokens: meanTokens, Shift: true, OneTime: 0.05, Seed: options.Seed, Skew: options.Skew,
 	}
 	for _, process := range running.Entries() {
 		plan.Addresses = append(plan.Addresses, process.Address())
--- a/kernel/config/apply.go
+++ b/kernel/config/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,8 @@
 
 // Apply checks a rendered document and makes it the next generation. With a
 // base other than AnyGeneration it loses to whoever moved the head meanwhile,
-// and names what it lost against. A document equal to the one in force is
+// and names what it lost against. Keys in force are kept, and withdrawn ones stay
+// withdrawn. A document equal to the one in force is
 // accepted without a new generation.
 func (applier Applier) Apply(ctx context.Context, rendered []byte, base uint64) (Head, error) {
 	current, before, version, err := applier.Current(ctx)
@@ -55,6 +57,11 @@
 	if base != AnyGeneration && base != current.generation {
 		return Head{}, errors.Wrapf(ErrRace, "generation %d by %s is in force, not %d", current.generation, current.operator, base)
 	}
+	if before != nil {
+		if rendered, err = keepKeys(before, rendered); err != nil {
+			return Head{}, err
+		}
+	}
 	if _, err := Parse(current.generation+1, rendered); err != nil {
 		return Head{}, err
 	}
@@ -123,6 +130,35 @@
 	return Head{}, errors.Newf("generation %d is not in the history", generation)
 }
 
+// keepKeys carries the keys in force over into a new document, so that applying
+// a file from before a grant or a withdrawal undoes neither.
+func keepKeys(before, rendered []byte) ([]byte, error) {
+	var old, document map[string]any
+	if err := json.Unmarshal(before, &old); err != nil {
+		return nil, errors.Wrap(err, "the document in force")
+	}
+	if err := json.Unmarshal(rendered, &document); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	granted, _ := old["keys"].(map[string]any)
+	keys, _ := document["keys"].(map[string]any)
+	if keys == nil && len(granted) > 0 {
+		keys = map[string]any{}
+		document["keys"] = keys
+	}
+	for id, value := range granted {
+		key, _ := value.(map[string]any)
+		next, given := keys[id].(map[string]any)
+		switch {
+		case !given:
+			keys[id] = value
+		case key["withdrawn"] == true:
+			next["withdrawn"] = true
+		}
+	}
+	return json.MarshalIndent(document, "", "  ")
+}
+
 func (applier Applier) writeDocument(ctx context.Context, hash string, rendered []byte) error {
 	key := DocumentKey(applier.Site, hash)
 	_, err := applier.Store.Create(ctx, "operator", key, rendered)
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,88 @@
+// Command standin runs one stand-in for a system that the deployment meets, for
+// trying entries and agents as processes of their own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"endiverill.example/standin/engine"
+	"endiverill.example/standin/service"
+	"endiverill.example/standin/store"
+	"endiverill.example/standin/weight"
+)
+
+func main() {
+	command := &cli.Command{
+		Name: "standin", Usage: "run a stand-in; POST /faults switches its faults",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			verb("store", "the platform's object API", func(*cli.Command) serve { return store.New(1).Serve }),
+			verb("service", "a plain service that counts its runs", func(*cli.Command) serve { return service.New().Serve }),
+			verb("engine", "a model engine", newEngine, engineFlags()...),
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// serve answers on a listener until it is closed.
+type serve func(listener net.Listener) error
+
+func verb(name, usage string, build func(command *cli.Command) serve, flags ...cli.Flag) *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to serve on", Required: true}
+	return &cli.Command{
+		Name: name, Usage: usage, Flags: append([]cli.Flag{listen}, flags...),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			listener, err := net.Listen("tcp", command.String("listen"))
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			context.AfterFunc(ctx, func() { _ = listener.Close() })
+			err = build(command)(listener)
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		},
+	}
+}
+
+func engineFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Int64Flag{Name: "memory", Value: 16000, Usage: "MiB of the accelerator"},
+		&cli.IntFlag{Name: "slots", Value: 8, Usage: "sequences in a batch"},
+		&cli.DurationFlag{Name: "token-time", Value: 5 * time.Millisecond, Usage: "time between two tokens"},
+		&cli.DurationFlag{Name: "load-time", Value: time.Second, Usage: "time to load a model"},
+		&cli.BoolFlag{Name: "checks-orders", Value: true, Usage: "refuse orders with an old fencing number"},
+	}
+}
+
+const (
+	cacheBlocks = 1024
+	loadLag     = 200 * time.Millisecond
+	adapterTime = 10 * time.Millisecond
+	prefillTime = 20 * time.Millisecond
+	loadRate    = 2 // loads a second
+	loadsAtOnce = 4
+)
+
+func newEngine(command *cli.Command) serve {
+	profile := engine.Profile{
+		Memory: command.Int64("memory") << 20, Slots: command.Int("slots"), TokenTime: command.Duration("token-time"),
+		PrefillTime: prefillTime, LoadTime: command.Duration("load-time"), AdapterTime: adapterTime,
+		CacheBlocks: cacheBlocks, ChecksOrders: command.Bool("checks-orders"), LoadLag: loadLag,
+	}
+	return engine.New(profile, weight.New(loadRate, loadsAtOnce)).Serve
+}
