--- a/agent/agent/carry.go
+++ b/agent/agent/carry.go
@@ -10,7 +10,6 @@
 	"endiverill.example/kernel/config"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/memory"
-	"endiverill.example/kernel/object"
 	"endiverill.example/kernel/placement"
 	"endiverill.example/kernel/wire"
 )
@@ -209,9 +208,7 @@
 }
 
 func (agent *Agent) confirmPlan(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, agent.storeTimeout())
-	defer cancel()
-	plan, err := ReadPlan(ctx, agent.Store(), agent.Values().String("site"))
+	plan, err := placement.Read(ctx, agent.Store(), agent.storeTimeout(), agent.Values().String("site"))
 	agent.Control().Do(func() {
 		if err != nil {
 			agent.floor.carrier.NotConfirmed()
@@ -221,19 +218,6 @@
 	})
 }
 
-// ReadPlan reads the placement plan of a site; a plan that does not exist is
-// empty.
-func ReadPlan(ctx context.Context, store object.Store, site string) (*placement.Plan, error) {
-	found, err := store.Get(ctx, "placement", placement.Key(site))
-	if errors.Is(err, object.ErrNotFound) {
-		return placement.Empty(), nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return placement.ParsePlan(found.Value(), found.Version())
-}
-
 // handleAssign takes what a planner wants the target to hold.
 func (agent *Agent) handleAssign(_ context.Context, request *wire.AssignRequest) (*wire.Empty, error) {
 	agent.Control().Do(func() {
--- a/endiverill/internal/command/config.go
+++ b/endiverill/internal/command/config.go
@@ -61,6 +61,17 @@
 	return config.Applier{Store: open(command.String("store"), func(string) {}), Site: command.String("site"), Operator: operator}, nil
 }
 
+// withApplier gives an action the applier that the flags name.
+func withApplier(action func(ctx context.Context, command *cli.Command, applier config.Applier) error) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		applier, err := applier(command)
+		if err != nil {
+			return err
+		}
+		return action(ctx, command, applier)
+	}
+}
+
 func validateVerb() *cli.Command {
 	return &cli.Command{
 		Name: "validate", Usage: "check a configuration and report every fault",
@@ -100,15 +111,11 @@
 	return &cli.Command{
 		Name: "diff", Usage: "print the merge patch from the configuration in force to a new one",
 		Flags: []cli.Flag{baseFlag, overlayFlag, storeFlag, siteFlag},
-		Action: func(ctx context.Context, command *cli.Command) error {
+		Action: withApplier(func(ctx context.Context, command *cli.Command, applier config.Applier) error {
 			rendered, err := render(command)
 			if err != nil {
 				return err
 			}
-			applier, err := applier(command)
-			if err != nil {
-				return err
-			}
 			head, current, _, err := applier.Current(ctx)
 			if err != nil {
 				return err
@@ -122,7 +129,7 @@
 			}
 			fmt.Println(string(patch))
 			return nil
-		},
+		}),
 	}
 }
 
@@ -133,22 +140,18 @@
 			baseFlag, overlayFlag, storeFlag, siteFlag, jsonFlag,
 			&cli.Uint64Flag{Name: "expect", Usage: "generation that must be in force; exit code 3 when another is"},
 		},
-		Action: func(ctx context.Context, command *cli.Command) error {
+		Action: withApplier(func(ctx context.Context, command *cli.Command, applier config.Applier) error {
 			rendered, err := render(command)
 			if err != nil {
 				return err
 			}
-			applier, err := applier(command)
-			if err != nil {
-				return err
-			}
 			base := config.AnyGeneration
 			if command.IsSet("expect") {
 				base = command.Uint64("expect")
 			}
 			head, err := applier.Apply(ctx, rendered, base)
 			return printHead(command, head, err)
-		},
+		}),
 	}
 }
 
@@ -172,17 +175,13 @@
 	return &cli.Command{
 		Name: "history", Usage: "list the generations that were accepted",
 		Flags: []cli.Flag{storeFlag, siteFlag},
-		Action: func(ctx context.Context, command *cli.Command) error {
-			applier, err := applier(command)
-			if err != nil {
-				return err
-			}
+		Action: withApplier(func(ctx context.Context, command *cli.Command, applier config.Applier) error {
 			heads, err := applier.History(ctx)
 			for _, head := range heads {
 				fmt.Printf("%d\t%s\t%s\n", head.Generation(), head.Hash(), head.Operator())
 			}
 			return err
-		},
+		}),
 	}
 }
 
@@ -190,14 +189,10 @@
 	return &cli.Command{
 		Name: "rollback", Usage: "put the document of an earlier generation in force as a new one",
 		Flags: []cli.Flag{storeFlag, siteFlag, jsonFlag, &cli.Uint64Flag{Name: "to", Usage: "`GENERATION` to go back to", Required: true}},
-		Action: func(ctx context.Context, command *cli.Command) error {
-			applier, err := applier(command)
-			if err != nil {
-				return err
-			}
+		Action: withApplier(func(ctx context.Context, command *cli.Command, applier config.Applier) error {
 			head, err := applier.Rollback(ctx, command.Uint64("to"))
 			return printHead(command, head, err)
-		},
+		}),
 	}
 }
 
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -8,12 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"endiverill.example/kernel/config"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/logs"
-	"endiverill.example/kernel/object"
 	"endiverill.example/kernel/placement"
 	"endiverill.example/kernel/wire"
 )
@@ -152,21 +149,13 @@
 	if planner.plan != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, planner.entry.limits.storeTimeout)
-	defer cancel()
-	found, err := planner.entry.Store().Get(ctx, "placement", placement.Key(planner.entry.Values().String("site")))
-	switch {
-	case errors.Is(err, object.ErrNotFound):
-		planner.plan = placement.Empty()
-	case err != nil:
+	plan, err := placement.Read(ctx, planner.entry.Store(), planner.entry.limits.storeTimeout, planner.entry.Values().String("site"))
+	if err != nil {
+		planner.log.Warnf("the stored plan cannot be read: %v", err)
 		return false
-	default:
-		if planner.plan, err = placement.ParsePlan(found.Value(), found.Version()); err != nil {
-			planner.log.Warnf("the stored plan is malformed: %v", err)
-			planner.plan = nil
-		}
 	}
-	return planner.plan != nil
+	planner.plan = plan
+	return true
 }
 
 func (planner *planner) write(ctx context.Context, next *placement.Plan) {
