--- a/endiverill/internal/command/config.go
+++ b/endiverill/internal/command/config.go
@@ -175,7 +175,7 @@
 	return &cli.Command{
 		Name: "history", Usage: "list the generations that were accepted",
 		Flags: []cli.Flag{storeFlag, siteFlag},
-		Action: withApplier(func(ctx context.Context, command *cli.Command, applier config.Applier) error {
+		Action: withApplier(func(ctx context.Context, _ *cli.Command, applier config.Applier) error {
 			heads, err := applier.History(ctx)
 			for _, head := range heads {
 				fmt.Printf("%d\t%s\t%s\n", head.Generation(), head.Hash(), head.Operator())
