Give orders through agents, share spending, and plan residency by demand

Ruled out: orders from the entries' lease holder (turns within the lease's gap, and no adapters while it changes hands). Adapter orders beside a load of weights: 4,988 of 5,057 were refused, so they wait for its end.

--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -156,3 +156,32 @@
 	}
 	return addresses
 }
+
+// engines returns the targets whose service has model engines.
+func (follower *follower) engines() []*directory.Target {
+	current := follower.gateway.current.Load()
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	var engines []*directory.Target
+	for _, target := range follower.targets {
+		if current == nil {
+			break
+		}
+		if service := current.Service(target.Service()); service != nil && service.Engine() != nil {
+			engines = append(engines, target)
+		}
+	}
+	return engines
+}
+
+// target returns the listed target of a key, nil when there is none.
+func (follower *follower) target(key directory.TargetKey) *directory.Target {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	for _, target := range follower.targets {
+		if target.Key() == key {
+			return target
+		}
+	}
+	return nil
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"endiverill.example/kernel/dispatch"
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/metric"
+	"endiverill.example/kernel/object"
 	"endiverill.example/kernel/retry"
 )
 
@@ -49,6 +50,10 @@
 	Logs        *logs.Root
 	Metrics     *metric.Set
 	Incarnation uint64
+	Store       object.Store  // of the lease on planning
+	LeaseKey    string        // of the lease on planning
+	RateWindow  time.Duration // over which customers' spending is counted
+	LoadWindow  time.Duration // over which loads from the weight store are counted
 }
 
 // Gateway is one entry.
@@ -68,6 +73,7 @@
 	changed   *signal
 	follower  *follower
 	peers     *peers
+	planner   *planning
 	mu        sync.Mutex // guards what follows
 	board     *dispatch.Board
 	allowance *allowance.Allowance
@@ -85,12 +91,13 @@
 		watched:   newWatched(),
 		changed:   newSignal(),
 		board:     dispatch.NewBoard(options.DataCentre),
-		allowance: allowance.New(),
+		allowance: allowance.New(options.RateWindow),
 		retries:   retry.NewBudget(),
 	}
 	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
 	gateway.follower = newFollower(gateway)
 	gateway.peers = newPeers(gateway)
+	gateway.planner = newPlanning(gateway)
 	gateway.server = &fasthttp.Server{
 		Handler:                      gateway.handle,
 		ErrorHandler:                 gateway.handleBroken,
@@ -145,6 +152,7 @@
 	group.Go(func() error { return gateway.serveReady(ctx, ready) })
 	group.Go(func() error { return gateway.follower.run(ctx) })
 	group.Go(func() error { return gateway.peers.run(ctx) })
+	group.Go(func() error { return gateway.planner.run(ctx) })
 	group.Go(func() error { return gateway.watched.run(ctx, gateway.clock) })
 	group.Go(func() error { return gateway.keepHouse(ctx) })
 	group.Go(func() error {
@@ -221,6 +229,7 @@
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.busy())
 	gateway.peers.leave()
+	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - stopReserve)
 	notice := gateway.clock.Now().Add(stopNotice)
 	for gateway.clock.Now().Before(end) {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -2,19 +2,407 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"endiverill.example/kernel/datagram"
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/wire"
+)
+
+const (
+	tellPeriod     = 200 * time.Millisecond // between an entry's messages to others
+	peersPerPeriod = 8                      // entries beyond which messages become rarer in proportion
+	peerLife       = 30 * time.Second       // entries unheard for that long are told nothing
+	commandRepeat  = 60 * time.Millisecond  // until a command is sent again; an adapter takes 5 to 14 ms
+	adapterPart    = 0.7                    // part of the time left that an adapter may take
+	agentOffset    = 1                      // agents listen on the port after the entries'
 )
 
 // peers are the messages to and from other instances.
-type peers struct{ gateway *Gateway }
+type peers struct {
+	gateway *Gateway
+	socket  *datagram.Socket
+	next    atomic.Uint64
+	mu      sync.Mutex
+	entries map[netip.AddrPort]time.Time // other entries and when they were heard
+	waiting map[uint64]chan *wire.Result
+	used    map[directory.TargetKey]map[wire.AdapterUse]bool
+	states  map[directory.TargetKey]heard
+	wanted  map[string]float64 // tokens asked of models since the start
+	totals  map[netip.AddrPort]peerTotals
+}
+
+// heard is an agent's last message.
+type heard struct {
+	state *wire.TargetState
+	at    time.Time
+}
+
+// peerTotals are the figures of another entry's last message.
+type peerTotals struct {
+	incarnation uint64
+	wanted      map[string]float64
+	planFence   uint64
+	at          time.Time
+}
+
+func newPeers(gateway *Gateway) *peers {
+	return &peers{
+		gateway: gateway,
+		entries: map[netip.AddrPort]time.Time{},
+		waiting: map[uint64]chan *wire.Result{},
+		used:    map[directory.TargetKey]map[wire.AdapterUse]bool{},
+		states:  map[directory.TargetKey]heard{},
+		wanted:  map[string]float64{},
+		totals:  map[netip.AddrPort]peerTotals{},
+	}
+}
+
+func (peers *peers) run(ctx context.Context) error {
+	options := peers.gateway.options
+	address := net.JoinHostPort(options.IP, strconv.Itoa(options.PeerPort))
+	socket, err := datagram.Listen(ctx, address, options.Metrics.Add)
+	if err != nil {
+		return err
+	}
+	peers.mu.Lock()
+	peers.socket = socket
+	for _, ip := range options.PeerIPs {
+		peers.meet(net.JoinHostPort(ip, strconv.Itoa(options.PeerPort)))
+	}
+	peers.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return socket.Receive(ctx, peers.receive) })
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			peers.tell(false)
+			select {
+			case <-peers.gateway.clock.After(peers.period()):
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// period grows with the number of entries, so that an instance's messages a
+// second do not.
+func (peers *peers) period() time.Duration {
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	return tellPeriod * time.Duration(1+len(peers.entries)/peersPerPeriod)
+}
+
+// meet adds an entry; the caller holds the lock.
+func (peers *peers) meet(address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		peers.gateway.log.Warnf("address of a peer cannot be read: %v", err)
+		return
+	}
+	own := parsed.Addr().String() == peers.gateway.options.IP && int(parsed.Port()) == peers.gateway.options.PeerPort
+	if _, known := peers.entries[parsed]; !known && !own {
+		peers.entries[parsed] = peers.gateway.clock.Now()
+	}
+}
+
+// leave tells the others that this instance ends.
+func (peers *peers) leave() { peers.tell(true) }
+
+// tell sends this instance's state to entries and agents.
+func (peers *peers) tell(leaving bool) {
+	gateway := peers.gateway
+	now := gateway.clock.Now()
+	state := &wire.EntryState{Name: gateway.options.Name, Incarnation: gateway.options.Incarnation, Leaving: leaving}
+	if current := gateway.current.Load(); current != nil {
+		state.Version = current.Version()
+	}
+	gateway.mu.Lock()
+	state.Spent = listTotals(gateway.allowance.Spent())
+	state.Levels = listTotals(gateway.allowance.Levels())
+	gateway.mu.Unlock()
+	state.PlanFence = gateway.planner.fence()
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.socket == nil {
+		return
+	}
+	state.Wanted = listTotals(peers.wanted)
+	for address, at := range peers.entries {
+		if now.Sub(at) > peerLife {
+			delete(peers.entries, address)
+			delete(peers.totals, address)
+			continue
+		}
+		peers.send(address, state)
+	}
+	peers.greetAgents(state)
+}
+
+// greetAgents tells the agents that this entry wants their messages, and which
+// adapters it uses.
+func (peers *peers) greetAgents(state *wire.EntryState) {
+	state.Spent, state.Levels, state.Wanted = nil, nil, nil
+	for _, target := range peers.gateway.follower.engines() {
+		address, err := peers.agent(target)
+		if err != nil {
+			continue // the list gave an address that is no IP number; its requests fail with a log line
+		}
+		state.Used = state.Used[:0]
+		for use := range peers.used[target.Key()] {
+			state.Used = append(state.Used, use)
+		}
+		peers.send(address, state)
+	}
+	clear(peers.used)
+}
+
+func (peers *peers) agent(target *directory.Target) (netip.AddrPort, error) {
+	return netip.ParseAddrPort(net.JoinHostPort(target.Host(), strconv.Itoa(peers.gateway.options.PeerPort+agentOffset)))
+}
+
+func (peers *peers) send(to netip.AddrPort, message wire.Message) {
+	if err := peers.socket.Send(to, message); err != nil {
+		peers.gateway.metrics.Add("datagrams.unsent", 1)
+		peers.gateway.log.Debugf("message not sent: %v", err)
+	}
+}
+
+func (peers *peers) receive(from netip.AddrPort, message wire.Message) {
+	switch message := message.(type) {
+	case *wire.EntryState:
+		peers.hearEntry(from, message)
+	case *wire.TargetState:
+		peers.hearTarget(message)
+	case *wire.Result:
+		peers.mu.Lock()
+		waiting := peers.waiting[message.ID]
+		peers.mu.Unlock()
+		if waiting == nil {
+			return // the answer to a command that is not waited for any more
+		}
+		select {
+		case waiting <- message:
+		default: // a second answer
+		}
+	}
+}
+
+func (peers *peers) hearEntry(from netip.AddrPort, state *wire.EntryState) {
+	gateway := peers.gateway
+	now := gateway.clock.Now()
+	name := from.String()
+	gateway.mu.Lock()
+	if state.Leaving {
+		gateway.allowance.Leave(name)
+	} else {
+		gateway.allowance.Hear(name, state.Incarnation, totalsOf(state.Spent), totalsOf(state.Levels), now)
+	}
+	gateway.mu.Unlock()
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if state.Leaving {
+		delete(peers.entries, from)
+		delete(peers.totals, from)
+		return
+	}
+	peers.entries[from] = now
+	wanted := totalsOf(state.Wanted)
+	before, known := peers.totals[from]
+	for model, total := range wanted {
+		delta := total
+		if known && before.incarnation == state.Incarnation {
+			delta -= before.wanted[model]
+		}
+		if known && delta > 0 {
+			gateway.planner.asked(model, delta, now)
+		}
+	}
+	peers.totals[from] = peerTotals{incarnation: state.Incarnation, wanted: wanted, planFence: state.PlanFence, at: now}
+}
+
+func listTotals(values map[string]float64) []wire.Total {
+	totals := make([]wire.Total, 0, len(values))
+	for name, value := range values {
+		totals = append(totals, wire.Total{Name: name, Value: value})
+	}
+	return totals
+}
+
+func totalsOf(totals []wire.Total) map[string]float64 {
+	values := make(map[string]float64, len(totals))
+	for _, total := range totals {
+		values[total.Name] = total.Value
+	}
+	return values
+}
+
+// otherPlanner returns the fence of another entry that plans and was heard
+// within life.
+func (peers *peers) otherPlanner(life time.Duration, now time.Time) uint64 {
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	fence := uint64(0)
+	for _, totals := range peers.totals {
+		if now.Sub(totals.at) < life {
+			fence = max(fence, totals.planFence)
+		}
+	}
+	return fence
+}
+
+// hearTarget takes in an agent's message.
+func (peers *peers) hearTarget(state *wire.TargetState) {
+	gateway := peers.gateway
+	now := gateway.clock.Now()
+	key := directory.TargetKey{ID: state.Target, Born: state.Born}
+	peers.mu.Lock()
+	before, known := peers.states[key]
+	if known && before.state.Number > state.Number && now.Sub(before.at) < reorderWindow {
+		peers.mu.Unlock()
+		return // overtaken on the way
+	}
+	peers.states[key] = heard{state: state, at: now}
+	for other, one := range peers.states {
+		if now.Sub(one.at) > stateLife {
+			delete(peers.states, other)
+		}
+	}
+	for _, entry := range state.Entries {
+		peers.meet(entry)
+	}
+	loading := peers.loading(now)
+	peers.mu.Unlock()
+	gateway.mu.Lock()
+	gateway.board.SetReport(key, reportOf(state, now))
+	gateway.board.SetLoading(loading)
+	gateway.mu.Unlock()
+	gateway.changed.raise()
+}
+
+const (
+	reorderWindow = time.Second      // an agent that starts anew counts from the start again
+	stateLife     = 10 * time.Second // of an agent's last message
+)
+
+// loading returns until when models are being loaded; the caller holds the lock.
+func (peers *peers) loading(now time.Time) map[string]time.Time {
+	loading := map[string]time.Time{}
+	for _, heard := range peers.states {
+		model := heard.state.Loading
+		if model == "" || now.Sub(heard.at) > time.Second {
+			continue
+		}
+		ends := heard.at.Add(heard.state.BusyFor)
+		if known, ok := loading[model]; !ok || ends.Before(known) {
+			loading[model] = ends
+		}
+	}
+	return loading
+}
+
+func reportOf(state *wire.TargetState, now time.Time) directory.Report {
+	report := directory.Report{
+		At: now, Waiting: state.Waiting, Running: state.Running, Starting: state.Starting, Busy: state.Busy,
+		BusyFor: state.BusyFor, Draining: state.Draining, Leaves: state.Leaves, Sequence: state.Sequence, UsedKV: state.UsedKV,
+		TotalKV: state.TotalKV, Pending: state.Pending, Host: state.Host, Disk: state.Disk, Born: state.Born,
+	}
+	for _, resident := range state.Models {
+		report.Models = append(report.Models, directory.Resident{Model: resident.Model, Adapters: resident.Adapters})
+	}
+	return report
+}
 
-func newPeers(gateway *Gateway) *peers { return &peers{gateway: gateway} }
+// use notes that a request uses an adapter, which keeps it resident.
+func (peers *peers) use(key directory.TargetKey, request *dispatch.Request) {
+	if request.Adapter == "" {
+		return
+	}
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.used[key] == nil {
+		peers.used[key] = map[wire.AdapterUse]bool{}
+	}
+	peers.used[key][wire.AdapterUse{Model: request.Model, Adapter: request.Adapter}] = true
+}
 
-func (peers *peers) run(ctx context.Context) error { <-ctx.Done(); return nil }
+// want notes that a request asks a model for tokens.
+func (peers *peers) want(request *dispatch.Request) {
+	if request.Model == "" {
+		return
+	}
+	tokens := float64(request.Prompt + outputWork*request.Output)
+	peers.mu.Lock()
+	peers.wanted[request.Model] += tokens
+	peers.mu.Unlock()
+	peers.gateway.planner.asked(request.Model, tokens, peers.gateway.clock.Now())
+}
 
-func (peers *peers) leave() {}
+// outputWork is the work of a generated token in tokens of a prompt.
+const outputWork = 4
 
-func (gateway *Gateway) fetch(*visit, *directory.Target) bool { return false }
+// command sends a command until it is answered or ctx ends, and returns whether
+// it was carried out.
+func (peers *peers) command(ctx context.Context, to netip.AddrPort, command *wire.Command) (done bool, reason string) {
+	command.ID = peers.next.Add(1) ^ peers.gateway.options.Incarnation
+	answers := make(chan *wire.Result, 1)
+	peers.mu.Lock()
+	socket := peers.socket
+	peers.waiting[command.ID] = answers
+	peers.mu.Unlock()
+	defer func() {
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+		delete(peers.waiting, command.ID)
+	}()
+	if socket == nil {
+		return false, "the instance is starting"
+	}
+	for {
+		peers.send(to, command)
+		select {
+		case answer := <-answers:
+			return answer.Done, answer.Reason
+		case <-peers.gateway.clock.After(commandRepeat):
+		case <-ctx.Done():
+			return false, "no answer came in time"
+		}
+	}
+}
 
-func (gateway *Gateway) miss(*visit) {}
+// fetch has a target load the adapter that a request needs, and waits for it.
+func (gateway *Gateway) fetch(visit *visit, target *directory.Target) bool {
+	address, err := gateway.peers.agent(target)
+	if err != nil {
+		gateway.log.Warnf("agent of target %s has no address: %v", target.ID(), err)
+		return false
+	}
+	now := gateway.clock.Now()
+	gateway.mu.Lock()
+	gateway.board.Fetching(target.Key(), &visit.wanted, now)
+	gateway.mu.Unlock()
+	patience := time.Duration(float64(visit.deadline.Sub(now)) * adapterPart)
+	ctx, cancel := context.WithTimeout(visit.ctx, patience)
+	defer cancel()
+	done, reason := gateway.peers.command(ctx, address, &wire.Command{
+		Target: target.ID(), Load: visit.wanted.Model, Adapter: visit.wanted.Adapter, Latest: patience,
+	})
+	gateway.metrics.Add("adapters.fetched", 1)
+	if !done {
+		gateway.log.Infof("request %q: target %s did not load adapter %s of model %s within %v: %s", visit.inquiry.ID, target.ID(),
+			visit.wanted.Adapter, visit.wanted.Model, gateway.clock.Now().Sub(now), reason)
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.board.Fetched(target.Key(), &visit.wanted, done)
+	return done
+}
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -27,6 +27,7 @@
 	visit, fault := gateway.receive(ctx)
 	if fault == nil {
 		gateway.watched.add(visit, conn)
+		gateway.peers.want(&visit.wanted)
 		var answer *relay
 		answer, fault = gateway.answer(visit)
 		if fault == nil {
@@ -239,7 +240,6 @@
 			}
 			visit.tried = append(visit.tried, decision.Target.Key())
 		case dispatch.Refuse:
-			gateway.miss(visit)
 			return nil, refusal(decision)
 		case dispatch.Hold:
 			select {
@@ -248,7 +248,6 @@
 			}
 		}
 		if fault := visit.over(code.RanNo); fault != nil {
-			gateway.miss(visit)
 			return nil, fault
 		}
 	}
@@ -272,6 +271,7 @@
 	if !gateway.usable(target) {
 		return attempted{ran: code.RanNo, unhit: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves").WithRetryAfter(retryAfterTimeout)}
 	}
+	gateway.peers.use(target.Key(), &visit.wanted)
 	flight := visit.launch(target)
 	answer, sent, err := flight.send(visit.inquiry.LastEvent)
 	if err != nil {
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -108,7 +108,7 @@
 func (visit *visit) ranNot() {
 	visit.gateway.mu.Lock()
 	defer visit.gateway.mu.Unlock()
-	visit.gateway.allowance.Return(visit.grant)
+	visit.gateway.allowance.Return(visit.grant, visit.gateway.clock.Now())
 	visit.grant = allowance.Grant{}
 }
 
--- a/kernel/allowance/allowance.go
+++ b/kernel/allowance/allowance.go
@@ -3,8 +3,9 @@
 // few times a second; each keeps a token bucket for the whole fleet. An entry
 // that is not heard is taken to spend its even part of the rate, and so is
 // this instance while it hears nobody: a cut fleet spends no more than its
-// parts together may. The package does no I/O; its callers guard it with a
-// lock.
+// parts together may. Beside the bucket, a sliding window holds what is spent
+// within it to the rate times its length plus the burst. The package does no
+// I/O; its callers guard it with a lock.
 package allowance
 
 import (
@@ -17,7 +18,9 @@
 	silentAfter  = 1200 * time.Millisecond // six periods of the entries' messages
 	forgetAfter  = 30 * time.Second        // an entry unheard for that long is taken as ended
 	longestRetry = 5 * time.Second
-	mutedRefill  = 0.05 // least part of the rate that is left to this instance
+	mutedRefill  = 0.05        // least part of the rate that is left to this instance
+	headroom     = time.Second // of the rate, which a bucket holds beside the burst, so that uneven arrivals within the window pass
+	windowSlices = 32
 )
 
 // Grant is what was taken for one request.
@@ -31,7 +34,40 @@
 	rate, burst float64
 	level       float64
 	at          time.Time
-	spent       float64 // by this instance since its start
+	spent       float64   // by this instance since its start
+	window      []float64 // spent by the fleet, by slice of time
+	slice       int64     // number of the newest slice
+}
+
+// capacity returns the most that the bucket holds.
+func (bucket *bucket) capacity() float64 { return bucket.burst + bucket.rate*headroom.Seconds() }
+
+// add counts spending in the window; the length of a slice is given.
+func (bucket *bucket) add(cost float64, now time.Time, slice time.Duration) {
+	bucket.turn(now, slice)
+	bucket.window[int(bucket.slice%windowSlices)] += cost
+}
+
+// turn clears the slices that have passed.
+func (bucket *bucket) turn(now time.Time, slice time.Duration) {
+	current := now.UnixNano() / int64(slice)
+	if bucket.slice == 0 || current-bucket.slice >= windowSlices {
+		clear(bucket.window)
+		bucket.slice = current
+	}
+	for bucket.slice < current {
+		bucket.slice++
+		bucket.window[int(bucket.slice%windowSlices)] = 0
+	}
+}
+
+// spentWithin returns what the fleet spent within the window.
+func (bucket *bucket) spentWithin() float64 {
+	sum := 0.0
+	for _, spent := range bucket.window {
+		sum += spent
+	}
+	return sum
 }
 
 // peer is another entry.
@@ -44,15 +80,19 @@
 
 // Allowance holds all customers' buckets.
 type Allowance struct {
+	length  time.Duration // of the window
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
 
-// New returns an allowance without customers.
-func New() *Allowance {
-	return &Allowance{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+// New returns an allowance without customers, which counts spending over a
+// window of that length.
+func New(window time.Duration) *Allowance {
+	return &Allowance{length: window, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
+func (allowance *Allowance) slice() time.Duration { return allowance.length / windowSlices }
+
 // SetCustomers takes over the limits of a configuration.
 func (allowance *Allowance) SetCustomers(customers []*directory.Customer, now time.Time) {
 	listed := map[string]bool{}
@@ -60,12 +100,13 @@
 		listed[customer.Name()] = true
 		known := allowance.buckets[customer.Name()]
 		if known == nil {
-			known = &bucket{at: now, level: customer.Burst() / float64(1+len(allowance.peers))}
+			// What was spent before this instance's start is not known, so the bucket starts empty.
+			known = &bucket{at: now, window: make([]float64, windowSlices)}
 			allowance.buckets[customer.Name()] = known
 		}
 		allowance.refill(customer.Name(), known, now)
 		known.rate, known.burst = customer.Rate(), customer.Burst()
-		known.level = min(known.level, known.burst)
+		known.level = min(known.level, known.capacity())
 	}
 	for name := range allowance.buckets {
 		if !listed[name] {
@@ -90,7 +131,7 @@
 		}
 	}
 	gain = max(gain, elapsed*bucket.rate*mutedRefill)
-	bucket.level = min(bucket.level+gain, bucket.burst)
+	bucket.level = min(bucket.level+gain, bucket.capacity())
 }
 
 // Take charges a request to a customer. When the rate is used up, it returns
@@ -101,24 +142,30 @@
 		return Grant{}, 0, true
 	}
 	allowance.refill(customer, bucket, now)
+	bucket.turn(now, allowance.slice())
 	// A request larger than the burst runs when the bucket is full.
-	if need := min(cost, bucket.burst); bucket.level < need {
-		missing := (need - bucket.level) / bucket.rate
-		return Grant{}, min(time.Duration(missing*float64(time.Second)), longestRetry), false
+	missing := min(cost, bucket.burst) - bucket.level
+	most := bucket.rate*allowance.length.Seconds() + bucket.burst
+	missing = max(missing, bucket.spentWithin()+cost-most)
+	if missing > 0 {
+		wait := time.Duration(missing / bucket.rate * float64(time.Second))
+		return Grant{}, min(wait, longestRetry), false
 	}
 	bucket.level -= cost
 	bucket.spent += cost
+	bucket.add(cost, now, allowance.slice())
 	return Grant{customer: customer, cost: cost}, 0, true
 }
 
 // Return gives back what a request that did not run was charged.
-func (allowance *Allowance) Return(grant Grant) {
+func (allowance *Allowance) Return(grant Grant, now time.Time) {
 	bucket := allowance.buckets[grant.customer]
 	if bucket == nil {
 		return
 	}
-	bucket.level = min(bucket.level+grant.cost, bucket.burst)
+	bucket.level = min(bucket.level+grant.cost, bucket.capacity())
 	bucket.spent -= grant.cost
+	bucket.add(-grant.cost, now, allowance.slice())
 }
 
 // Spent returns what this instance has spent since its start, by customer.
@@ -130,10 +177,23 @@
 	return spent
 }
 
-// Hear takes in what a peer has spent since its start.
-func (allowance *Allowance) Hear(name string, incarnation uint64, spent map[string]float64, now time.Time) {
+// Levels returns what the buckets hold, for instances that have just started.
+func (allowance *Allowance) Levels() map[string]float64 {
+	levels := make(map[string]float64, len(allowance.buckets))
+	for name, bucket := range allowance.buckets {
+		levels[name] = bucket.level
+	}
+	return levels
+}
+
+// Hear takes in what a peer has spent since its start, and what its buckets
+// hold. An instance that hears its first peer takes over the peer's view.
+func (allowance *Allowance) Hear(name string, incarnation uint64, spent, levels map[string]float64, now time.Time) {
 	known := allowance.peers[name]
 	if known == nil {
+		if len(allowance.peers) == 0 {
+			allowance.adopt(levels, now)
+		}
 		allowance.peers[name] = &peer{incarnation: incarnation, heard: now, spent: spent, assumed: map[string]float64{}}
 		return
 	}
@@ -148,12 +208,23 @@
 			delta -= known.spent[customer]
 		}
 		delta -= min(known.assumed[customer], max(delta, 0))
-		bucket.level = min(bucket.level-delta, bucket.burst)
+		bucket.level = min(bucket.level-delta, bucket.capacity())
+		bucket.add(delta, now, allowance.slice())
 	}
 	known.incarnation, known.heard, known.spent = incarnation, now, spent
 	clear(known.assumed)
 }
 
+// adopt raises the buckets to what a peer's hold.
+func (allowance *Allowance) adopt(levels map[string]float64, now time.Time) {
+	for customer, level := range levels {
+		if bucket := allowance.buckets[customer]; bucket != nil {
+			allowance.refill(customer, bucket, now)
+			bucket.level = min(max(bucket.level, level), bucket.capacity())
+		}
+	}
+}
+
 // Leave forgets a peer that said it ends.
 func (allowance *Allowance) Leave(name string) { delete(allowance.peers, name) }
 
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -76,6 +76,7 @@
 	Running  int
 	Starting int // running or waiting requests that have given no event yet
 	Busy     bool
+	BusyFor  time.Duration // until the order under way should end; no order can begin before
 	Draining bool
 	Leaves   time.Duration // until a target removed at short notice is gone; 0 for none
 	Sequence uint64        // orders accepted since the target's start
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -145,7 +145,7 @@
 	wait = replica.wait(request, now)
 	if !replica.holdsAdapter(request.Model, request.Adapter) {
 		fetch = true
-		wait += fetchPenalty
+		wait += replica.fetchWait(now)
 		if board.home(replica, request) {
 			wait -= min(affinityGain, wait)
 		}
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -19,6 +19,7 @@
 	backoffFirst   = 250 * time.Millisecond
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
+	leastBusy      = 100 * time.Millisecond // assumed of an order that takes longer than it should
 )
 
 // flight is a request that this instance sent to a target.
@@ -140,6 +141,14 @@
 	return wait
 }
 
+// fetchWait returns how long an adapter would take to come.
+func (replica *replica) fetchWait(now time.Time) time.Duration {
+	if !replica.report.Busy {
+		return fetchPenalty
+	}
+	return fetchPenalty + max(replica.report.BusyFor-now.Sub(replica.report.At), leastBusy)
+}
+
 // observe learns the target's speed from the time to a first event.
 func (replica *replica) observe(tokens int, elapsed time.Duration) {
 	if tokens == 0 || elapsed < measurableWait {
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -24,10 +24,18 @@
 	Incarnation uint64
 	Version     uint64 // configuration in force
 	Leaving     bool
-	Spent       []Total // cost units since the start, by customer
-	Wanted      []Total // requests since the start, by model
-	Missed      []Total // of these, not sent to a target, by model
-	Entry       bool    // false for a message that asks an agent for its state only
+	Spent       []Total      // cost units since the start, by customer
+	Levels      []Total      // cost units left in the buckets, by customer
+	Wanted      []Total      // tokens asked for since the start, by model
+	Missed      []Total      // of these, not sent to a target, by model
+	Used        []AdapterUse // adapters used since the last message, at the agent's target
+	PlanFence   uint64       // of the planner that the entry is, 0 when it is none
+}
+
+// AdapterUse names an adapter that requests use.
+type AdapterUse struct {
+	Model   string
+	Adapter string
 }
 
 // ResidentState is a model that a target holds.
@@ -51,14 +59,15 @@
 	UsedKV    int
 	TotalKV   int
 	Models    []ResidentState
-	Pending   []string // adapters on their way, as MODEL/ADAPTER
-	Host      []string // models with a copy in host memory
-	Disk      []string // models with a copy on disk
-	Begun     []Total  // loads from the weight store of the last seconds: model and age in ms
-	Loading   string   // model being loaded, empty for none
-	LoadEnds  time.Duration
-	Able      bool // the agent may give orders
-	PlanFence uint64
+	Pending   []string      // adapters on their way, as MODEL/ADAPTER
+	Host      []string      // models with a copy in host memory
+	Disk      []string      // models with a copy on disk
+	Begun     []Total       // loads from the weight store of the last seconds: model and age in ms
+	Loading   string        // model being loaded, empty for none
+	BusyFor   time.Duration // until the order under way should end
+	Able      bool          // the agent may give orders
+	PlanFence uint64        // highest fence of the planners that the agent has heard
+	Entries   []string      // addresses of the entries that greeted lately
 }
 
 // Command asks an agent for a change of what its target holds.
@@ -166,8 +175,11 @@
 	writer.flag(4, entryState.Leaving)
 	writer.totals(5, entryState.Spent)
 	writer.totals(6, entryState.Wanted)
-	writer.totals(7, entryState.Missed)
-	writer.flag(8, entryState.Entry)
+	writer.totals(7, entryState.Levels)
+	for index := range entryState.Used {
+		writer.message(8, &entryState.Used[index])
+	}
+	writer.varint(9, entryState.PlanFence)
 }
 
 func (entryState *EntryState) field(number protowire.Number, value value) {
@@ -185,9 +197,28 @@
 	case 6:
 		entryState.Wanted = appendTotal(entryState.Wanted, value.bytes)
 	case 7:
-		entryState.Missed = appendTotal(entryState.Missed, value.bytes)
+		entryState.Levels = appendTotal(entryState.Levels, value.bytes)
 	case 8:
-		entryState.Entry = value.flag()
+		var use AdapterUse
+		if parse(value.bytes, &use) == nil {
+			entryState.Used = append(entryState.Used, use)
+		}
+	case 9:
+		entryState.PlanFence = value.number
+	}
+}
+
+func (adapterUse *AdapterUse) appendTo(writer *writer) {
+	writer.text(1, adapterUse.Model)
+	writer.text(2, adapterUse.Adapter)
+}
+
+func (adapterUse *AdapterUse) field(number protowire.Number, value value) {
+	switch number {
+	case 1:
+		adapterUse.Model = value.text()
+	case 2:
+		adapterUse.Adapter = value.text()
 	}
 }
 
@@ -232,9 +263,10 @@
 	writer.texts(16, targetState.Disk)
 	writer.totals(17, targetState.Begun)
 	writer.text(18, targetState.Loading)
-	writer.duration(19, targetState.LoadEnds)
+	writer.duration(19, targetState.BusyFor)
 	writer.flag(20, targetState.Able)
 	writer.varint(21, targetState.PlanFence)
+	writer.texts(22, targetState.Entries)
 }
 
 func (targetState *TargetState) field(number protowire.Number, value value) {
@@ -287,11 +319,13 @@
 	case 18:
 		targetState.Loading = value.text()
 	case 19:
-		targetState.LoadEnds = value.duration()
+		targetState.BusyFor = value.duration()
 	case 20:
 		targetState.Able = value.flag()
 	case 21:
 		targetState.PlanFence = value.number
+	case 22:
+		targetState.Entries = append(targetState.Entries, value.text())
 	}
 }
 
