Close an entry's connections as their answers end, and believe refusals without an ID

A replica that sheds tells no request ID, so its refusal was taken for a stray answer and the caller got 502.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -31,8 +31,10 @@
 	Address string
 	Header  *fasthttp.RequestHeader // complete but for the length of the body
 	Body    []byte
-	// Mine says whether an answer belongs to the request.
-	Mine func(header *fasthttp.ResponseHeader) bool
+	// Mine says whether an answer belongs to the request. The connection of an
+	// anonymous one is not used again, since a copy of it could not be told from
+	// the next answer.
+	Mine func(header *fasthttp.ResponseHeader) (mine, anonymous bool)
 }
 
 // Answer is an answer whose body has not been read yet. It must be closed.
@@ -91,7 +93,11 @@
 			continue
 		}
 		answer.frame()
-		if answer.call.Mine(&answer.Header) {
+		mine, anonymous := answer.call.Mine(&answer.Header)
+		if anonymous {
+			answer.Header.SetConnectionClose()
+		}
+		if mine {
 			return nil
 		}
 		if err := answer.skip(); err != nil {
--- a/entry/gateway/caller.go
+++ b/entry/gateway/caller.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 type callers struct {
 	net.Listener
 	limits func() directory.Limits
+	closed atomic.Bool // idle connections are closed
 	mu     sync.Mutex
 	open   map[*caller]bool
 }
@@ -28,19 +30,22 @@
 	if err != nil {
 		return nil, err
 	}
-	caller := &caller{Conn: raw, callers: callers}
+	caller := &caller{Conn: raw, callers: callers, opened: time.Now()}
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
 	callers.open[caller] = true
 	return caller, nil
 }
 
-// closeIdle closes the connections on which no request is under way.
-func (callers *callers) closeIdle() {
+// shut closes the connections on which no request is under way and which were
+// opened before a time; the others end with their answers. New ones are still taken, since the platform sends them
+// while it knows no better instance.
+func (callers *callers) shut(before time.Time) {
+	callers.closed.Store(true)
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
 	for caller := range callers.open {
-		if !caller.busy.Load() && !caller.begun.Load() {
+		if !caller.busy.Load() && !caller.begun.Load() && caller.opened.Before(before) {
 			_ = caller.Conn.Close()
 		}
 	}
@@ -63,8 +68,10 @@
 type caller struct {
 	net.Conn
 	callers *callers
+	opened  time.Time
 	begun   atomic.Bool // bytes of a request have come
 	busy    atomic.Bool // a whole request is being answered
+	served  bool        // a request has been answered; used by the reader alone
 }
 
 // Read reads under the limits in force: the idle one before a request, and the
@@ -73,6 +80,10 @@
 func (caller *caller) Read(buf []byte) (int, error) {
 	if caller.busy.Swap(false) {
 		caller.begun.Store(false)
+		caller.served = true
+	}
+	if caller.callers.closed.Load() && caller.served && !caller.begun.Load() {
+		return 0, io.EOF
 	}
 	limits := caller.callers.limits()
 	limit := limits.IdleTimeout
--- a/entry/gateway/dialect.go
+++ b/entry/gateway/dialect.go
@@ -55,8 +55,9 @@
 	// those that concern one connection, the caller's key, or headers that only
 	// the system sets.
 	WriteRequest(out, in *fasthttp.RequestHeader, forward Forward)
-	// Mine says whether an answer belongs to the request of that ID.
-	Mine(header *fasthttp.ResponseHeader, id string) bool
+	// Mine says whether an answer belongs to the request of that ID. Anonymous
+	// answers name no request; nothing else may follow on their connection.
+	Mine(header *fasthttp.ResponseHeader, id string) (mine, anonymous bool)
 	// ReadAnswer reads the head of a target's answer.
 	ReadAnswer(header *fasthttp.ResponseHeader) Verdict
 	// WriteAnswer copies the head of a target's answer for the caller.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -29,9 +29,11 @@
 	bodyBytes         = 8 << 20              // of a request; twice the usual limit on callers
 	answerMargin      = 4 * time.Millisecond // an answer's way back to the caller
 	retryAfterTimeout = 500 * time.Millisecond
-	stopNotice        = 3 * time.Second // the platform sends new connections for that long after a process stops being ready
+	retryAfterStop    = 50 * time.Millisecond // another instance takes the request
+	stopNotice        = 3 * time.Second       // the platform sends new connections for that long after a process stops being ready
 	stopReserve       = 700 * time.Millisecond
 	stopPoll          = 50 * time.Millisecond
+	newcomerTime      = 300 * time.Millisecond // a connection without a request is kept for that long while stopping
 )
 
 // Options are what a gateway needs.
@@ -69,6 +71,7 @@
 	current   atomic.Pointer[directory.Directory]
 	listed    atomic.Bool // a list of targets has been seen
 	stopping  atomic.Bool
+	late      atomic.Bool // so late in a stop that requests might not end before it
 	watched   *watched
 	changed   *signal
 	follower  *follower
@@ -158,7 +161,7 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		gateway.pool.Close()
-		return errors.CombineErrors(listener.Close(), ready.Close())
+		return errors.CombineErrors(closedOK(listener.Close()), closedOK(ready.Close()))
 	})
 	return group.Wait()
 }
@@ -234,7 +237,8 @@
 	notice := gateway.clock.Now().Add(stopNotice)
 	for gateway.clock.Now().Before(end) {
 		if gateway.clock.Now().After(notice) {
-			gateway.callers.closeIdle()
+			gateway.late.Store(true)
+			gateway.callers.shut(gateway.clock.Now().Add(-newcomerTime))
 			if gateway.callers.busy() == 0 {
 				break
 			}
--- a/entry/gateway/planning.go
+++ b/entry/gateway/planning.go
@@ -35,7 +35,8 @@
 	planning := &planning{
 		gateway: gateway,
 		lease: lease.New(lease.Plan{
-			Holder: gateway.options.Name + "/" + time.Duration(gateway.options.Incarnation).String(), Duration: leaseDuration, Drift: leaseDrift,
+			// The name outlives a restart: an instance's earlier process has ended, so it need not wait for its own lease.
+			Holder: gateway.options.Name, Duration: leaseDuration, Drift: leaseDrift,
 		}),
 		planner: residency.New(gateway.options.LoadWindow),
 	}
@@ -126,7 +127,7 @@
 	targets := gateway.fleet(now)
 	planning.mu.Lock()
 	fence := planning.held
-	if fence == 0 || current == nil || now.Sub(planning.since) < planWarmUp {
+	if fence == 0 || current == nil || now.Sub(planning.since) < planWarmUp && !complete(targets) {
 		planning.mu.Unlock()
 		return
 	}
@@ -140,6 +141,16 @@
 	}
 }
 
+// complete says whether every target's agent has been heard.
+func complete(targets []residency.Target) bool {
+	for _, target := range targets {
+		if target.Unusable {
+			return false
+		}
+	}
+	return len(targets) > 0
+}
+
 // give has an agent carry a command out.
 func (planning *planning) give(ctx context.Context, command residency.Command, fence uint64) {
 	gateway := planning.gateway
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -121,6 +121,9 @@
 		}
 		return code.New(code.KeyUnknown, code.RanNo, "the key is not granted")
 	}
+	if visit.gateway.late.Load() && route.Kind() == directory.Stream {
+		return code.New(code.Stopping, code.RanNo, "the instance is stopping").WithRetryAfter(retryAfterStop)
+	}
 	visit.service = route.Pick(draw())
 	visit.deadline = visit.arrived.Add(route.Timeout())
 	if patience := visit.inquiry.Patience; patience > 0 && (route.Timeout() == 0 || patience < route.Timeout()) {
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -97,7 +97,7 @@
 		Address: flight.target.Address(),
 		Header:  &header.Header,
 		Body:    visit.request.Body(),
-		Mine: func(header *fasthttp.ResponseHeader) bool {
+		Mine: func(header *fasthttp.ResponseHeader) (mine, anonymous bool) {
 			return gateway.dialect.Mine(header, visit.inquiry.ID)
 		},
 	})
