--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -18,8 +18,8 @@
 	forecastLife   = 1500 * time.Millisecond // time constant of the demand; demand moves within a few seconds
 	floorDemand    = 400.0                   // tokens a second asked of a model that nobody asks for, so that each stays resident
 	absentPenalty  = 40.0                    // factor on the square of work that no target can take
-	storeBurden    = 0.12                    // part of the mean work that a load from the store must win back
-	diskBurden     = 0.03                    // the same, of a load from the target's own disk
+	storeBurden    = 1.0                     // part of the mean work that a load from the store must win back
+	diskBurden     = 0.12                    // the same, of a load from the target's own disk
 	commandLife    = 4 * time.Second         // a command that shows no effect by then is taken as lost
 	concurrency    = 0.85                    // part of rate x duration of loads that the store serves at full speed
 	maxVictims     = 2
