--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -127,11 +127,13 @@
 		steward.keeper.Want(command.ID, sender, command.Load, command.Adapter, latest, now)
 		return
 	}
-	steward.log.Infof("planner with fence %d asks to load %q and unload %q", command.Fence, command.Load, command.Unload)
-	steward.keeper.Command(holding.Plan{
+	taken := steward.keeper.Command(holding.Plan{
 		ID: command.ID, From: sender, Fence: command.Fence, Unload: command.Unload, Load: command.Load, Latest: latest,
 	}, now)
-	steward.tell()
+	if taken {
+		steward.log.Infof("planner with fence %d asks to load %q and unload %q", command.Fence, command.Load, command.Unload)
+		steward.tell()
+	}
 }
 
 func (steward *Steward) send(to netip.AddrPort, message wire.Message) {
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -38,6 +38,15 @@
 	used    bool
 }
 
+// reset closes the connection so that bytes still on their way are dropped; a
+// request that was given up must not reach the target later.
+func (conn *conn) reset() {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it, the close below is only slower to withdraw
+	}
+	_ = conn.Close()
+}
+
 // Pool keeps connections to targets by their address.
 type Pool struct {
 	mu     sync.Mutex
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -182,7 +182,11 @@
 // other is closed.
 func (answer *Answer) Close() {
 	intact := answer.stop()
-	if !intact || !answer.whole || answer.Header.ConnectionClose() {
+	if !intact || !answer.whole {
+		answer.conn.reset()
+		return
+	}
+	if answer.Header.ConnectionClose() {
 		_ = answer.conn.Close()
 		return
 	}
@@ -193,10 +197,10 @@
 	answer.pool.put(answer.call.Address, answer.conn, keepFor(&answer.Header))
 }
 
-// Abort ends the exchange and closes its connection.
+// Abort ends the exchange and resets its connection.
 func (answer *Answer) Abort() {
 	answer.stop()
-	_ = answer.conn.Close()
+	answer.conn.reset()
 }
 
 // Discard reads past a short answer, so that its connection can be kept.
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -91,6 +91,7 @@
 	}
 	follower.config = document
 	gateway.mu.Lock()
+	gateway.board.SetCatalogue(parsed)
 	gateway.allowance.SetCustomers(parsed.Customers(), gateway.clock.Now())
 	gateway.mu.Unlock()
 	gateway.current.Store(parsed)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -29,8 +29,8 @@
 	bodyBytes         = 8 << 20              // of a request; twice the usual limit on callers
 	answerMargin      = 4 * time.Millisecond // an answer's way back to the caller
 	retryAfterTimeout = 500 * time.Millisecond
-	retryAfterStop    = 50 * time.Millisecond // another instance takes the request
-	stopNotice        = 3 * time.Second       // the platform sends new connections for that long after a process stops being ready
+	retryAfterStop    = 50 * time.Millisecond   // another instance takes the request
+	stopNotice        = 2600 * time.Millisecond // the platform sends new connections for two of its questions, one a second, after a process stops being ready
 	stopReserve       = 700 * time.Millisecond
 	stopPoll          = 50 * time.Millisecond
 	newcomerTime      = 300 * time.Millisecond // a connection without a request is kept for that long while stopping
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -21,7 +21,7 @@
 	tellPeriod     = 200 * time.Millisecond // between an entry's messages to others
 	peersPerPeriod = 8                      // entries beyond which messages become rarer in proportion
 	peerLife       = 30 * time.Second       // entries unheard for that long are told nothing
-	commandRepeat  = 60 * time.Millisecond  // until a command is sent again; an adapter takes 5 to 14 ms
+	adapterRepeat  = 60 * time.Millisecond  // until a wish for an adapter is sent again; it takes 5 to 14 ms
 	adapterPart    = 0.7                    // part of the time left that an adapter may take
 	agentOffset    = 1                      // agents listen on the port after the entries'
 )
@@ -350,9 +350,9 @@
 // outputWork is the work of a generated token in tokens of a prompt.
 const outputWork = 4
 
-// command sends a command until it is answered or ctx ends, and returns whether
-// it was carried out.
-func (peers *peers) command(ctx context.Context, to netip.AddrPort, command *wire.Command) (done bool, reason string) {
+// command sends a command every period until it is answered or ctx ends, and
+// returns whether it was carried out.
+func (peers *peers) command(ctx context.Context, to netip.AddrPort, period time.Duration, command *wire.Command) (done bool, reason string) {
 	command.ID = peers.next.Add(1) ^ peers.gateway.options.Incarnation
 	answers := make(chan *wire.Result, 1)
 	peers.mu.Lock()
@@ -372,7 +372,7 @@
 		select {
 		case answer := <-answers:
 			return answer.Done, answer.Reason
-		case <-peers.gateway.clock.After(commandRepeat):
+		case <-peers.gateway.clock.After(period):
 		case <-ctx.Done():
 			return false, "no answer came in time"
 		}
@@ -393,7 +393,7 @@
 	patience := time.Duration(float64(visit.deadline.Sub(now)) * adapterPart)
 	ctx, cancel := context.WithTimeout(visit.ctx, patience)
 	defer cancel()
-	done, reason := gateway.peers.command(ctx, address, &wire.Command{
+	done, reason := gateway.peers.command(ctx, address, adapterRepeat, &wire.Command{
 		Target: target.ID(), Load: visit.wanted.Model, Adapter: visit.wanted.Adapter, Latest: patience,
 	})
 	gateway.metrics.Add("adapters.fetched", 1)
--- a/entry/gateway/planning.go
+++ b/entry/gateway/planning.go
@@ -12,8 +12,9 @@
 
 const (
 	planPeriod    = 250 * time.Millisecond  // between two looks at the fleet
+	planRepeat    = 400 * time.Millisecond  // until a command is sent again; loads take seconds
 	planWait      = 1500 * time.Millisecond // for a command to be taken up
-	planWarmUp    = 1200 * time.Millisecond // a new planner listens for that long before it commands
+	planWarmUp    = 500 * time.Millisecond  // a new planner listens for that long before it commands; agents speak every 100 ms
 	plannerLife   = 1200 * time.Millisecond // a planner unheard for that long may be gone
 	leaseDuration = 3 * time.Second
 	leaseDrift    = 0.02 // bound on the difference of two clocks' speeds
@@ -167,7 +168,7 @@
 	gateway.log.Infof("target %s is to load %q and to unload %q, fence %d", target.ID(), command.Load, command.Unload, fence)
 	ctx, cancel := context.WithTimeout(ctx, planLoadWait)
 	defer cancel()
-	done, reason := gateway.peers.command(ctx, address, &wire.Command{
+	done, reason := gateway.peers.command(ctx, address, planRepeat, &wire.Command{
 		Target: target.ID(), Fence: fence, Unload: command.Unload, Load: command.Load, Latest: planWait,
 	})
 	if done {
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"endiverill.example/kernel/directory"
@@ -19,6 +20,8 @@
 	deadlineMargin = 0.9                    // part of the time left that a wait may take
 	shortestAfter  = 100 * time.Millisecond // of the advice to come back
 	defaultAfter   = time.Second
+	longAfter      = 30 * time.Second       // for a model that is not declared, which no wait will bring
+	planTime       = 700 * time.Millisecond // until the planner has seen the demand and its command is carried out
 )
 
 // Board holds what an instance knows of all targets.
@@ -28,6 +31,7 @@
 	services   map[string][]*replica
 	next       uint64
 	loading    map[string]time.Time // model to when a load under way ends
+	catalogue  *directory.Directory
 }
 
 // NewBoard returns a board of an instance in a data centre, without targets.
@@ -86,6 +90,9 @@
 	}
 }
 
+// SetCatalogue tells which models there are.
+func (board *Board) SetCatalogue(catalogue *directory.Directory) { board.catalogue = catalogue }
+
 // SetLoading tells until when loads of models are under way.
 func (board *Board) SetLoading(loading map[string]time.Time) { board.loading = loading }
 
@@ -111,7 +118,7 @@
 	var bestCost, bestWait time.Duration
 	bestFetch, roomy := false, false
 	for _, replica := range board.services[request.Service] {
-		if replica.leaving() || contains(tried, replica.target.Key()) {
+		if replica.leaving() || slices.Contains(tried, replica.target.Key()) {
 			continue
 		}
 		takers++
@@ -181,11 +188,12 @@
 	return hash.Sum64()
 }
 
-// absent decides on a request whose model no target holds.
+// absent decides on a request whose model no target holds. The planner has it
+// loaded, so the request waits where the load ends before its deadline.
 func (board *Board) absent(request *Request, now time.Time) Decision {
 	done, loading := board.loading[request.Model]
 	if !loading || now.After(done) {
-		return Refuse{Reason: NotResident, After: defaultAfter}
+		done = now.Add(board.loadTime(request))
 	}
 	left := request.Deadline.Sub(now)
 	if wait := done.Sub(now); wait > time.Duration(float64(left)*deadlineMargin) {
@@ -194,6 +202,25 @@
 	return Hold{Reason: NotResident, Until: request.Deadline}
 }
 
+// loadTime returns how long it takes until a model that nobody loads yet is
+// resident.
+func (board *Board) loadTime(request *Request) time.Duration {
+	if board.catalogue == nil {
+		return defaultAfter
+	}
+	service := board.catalogue.Service(request.Service)
+	if service == nil || service.Model(request.Model) == nil {
+		return longAfter
+	}
+	model := service.Model(request.Model)
+	for _, replica := range board.services[request.Service] {
+		if !replica.leaving() && replica.reported && (slices.Contains(replica.report.Disk, request.Model) || slices.Contains(replica.report.Host, request.Model)) {
+			return model.DiskLoad() + planTime
+		}
+	}
+	return model.StoreLoad() + planTime
+}
+
 func admit(request *Request, best *replica, wait time.Duration, fetch bool, now time.Time) Decision {
 	left := request.Deadline.Sub(now)
 	if request.Model != "" && wait > time.Duration(float64(left)*deadlineMargin) {
@@ -205,15 +232,6 @@
 	return Send{Target: best.target}
 }
 
-func contains(keys []directory.TargetKey, key directory.TargetKey) bool {
-	for _, one := range keys {
-		if one == key {
-			return true
-		}
-	}
-	return false
-}
-
 // Sent records that a request went to a target; the returned number names the
 // flight.
 func (board *Board) Sent(key directory.TargetKey, request *Request, now time.Time) uint64 {
--- a/kernel/holding/keeper.go
+++ b/kernel/holding/keeper.go
@@ -114,13 +114,13 @@
 }
 
 // Command takes a planner's command, unless a newer planner has spoken or
-// another command is under way.
-func (keeper *Keeper) Command(plan Plan, now time.Time) {
+// another command is under way. It returns whether the command is new and taken.
+func (keeper *Keeper) Command(plan Plan, now time.Time) bool {
 	switch {
 	case plan.Fence < keeper.fence:
 		keeper.answer(plan.ID, plan.From, false, "a newer planner has spoken")
 	case keeper.plan != nil && keeper.plan.ID == plan.ID && keeper.plan.From == plan.From:
-		return // the same command, sent again
+		return false // the same command, sent again
 	case keeper.plan != nil && keeper.begun:
 		keeper.answer(plan.ID, plan.From, false, "another command is under way")
 	default:
@@ -130,7 +130,9 @@
 		if len(plan.Unload) == 0 {
 			keeper.release = now
 		}
+		return true
 	}
+	return false
 }
 
 // Fence returns the highest fence of the planners' commands.
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	forecastLife   = 1500 * time.Millisecond // time constant of the demand; demand moves within a few seconds
-	floorDemand    = 400.0                   // tokens a second asked of a model that nobody asks for, so that each stays resident
-	absentPenalty  = 40.0                    // factor on the square of work that no target can take
-	storeBurden    = 1.0                     // part of the mean work that a load from the store must win back
-	diskBurden     = 0.12                    // the same, of a load from the target's own disk
-	commandLife    = 4 * time.Second         // a command that shows no effect by then is taken as lost
-	concurrency    = 0.85                    // part of rate x duration of loads that the store serves at full speed
-	maxVictims     = 2
-	commandsAtOnce = 4 // commands that one look gives; the next look sees their effect
+	forecastLife  = 1500 * time.Millisecond // time constant of the demand; demand moves within a few seconds
+	floorDemand   = 400.0                   // tokens a second asked of a model that nobody asks for, so that each stays resident
+	absentPenalty = 40.0                    // factor on the square of work that no target can take
+	storeBurden   = 1.0                     // part of the mean work that a load from the store must win back
+	diskBurden    = 0.12                    // the same, of a load from the target's own disk
+	commandLife   = 4 * time.Second         // a command that shows no effect by then is taken as lost
+	concurrency   = 0.85                    // part of rate x duration of loads that the store serves at full speed
+	maxVictims    = 2
+	swapsAtOnce   = 4 // commands of one look that unload something; the next look sees their effect
 )
 
 // Target is what the planner knows of a target.
@@ -109,11 +109,14 @@
 	}
 	draft := planner.draft(service, targets, now)
 	var commands []Command
-	for len(commands) < commandsAtOnce {
+	for swaps := 0; swaps < swapsAtOnce; {
 		best, ok := draft.best()
 		if !ok {
 			break
 		}
+		if len(best.victims) > 0 {
+			swaps++
+		}
 		draft.apply(best)
 		command := best.command(draft)
 		planner.given[command.Key] = given{command: command, at: now, store: best.store}
