Order requests by customer and route, and refuse what callers would leave before its first event

Cause: all customers share one rank, so history summaries waited behind drafts; callers leave a stream after 2.4 s without an event, but requests were sent to targets whose wait was longer, and ran for nobody.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -131,10 +131,14 @@
 	}
 	urgency := route.Priority()
 	if visit.customer != nil {
-		urgency = visit.customer.Priority(urgency)
+		urgency = visit.customer.Urgency(urgency)
 	}
 	visit.wanted = dispatch.Request{
 		Service: visit.service, Urgency: urgency, Arrived: visit.arrived, Objective: route.Objective(), Deadline: visit.deadline,
+		Begin: visit.deadline,
+	}
+	if patience := route.Patience(); patience > 0 && patience < visit.deadline.Sub(visit.arrived) {
+		visit.wanted.Begin = visit.arrived.Add(patience)
 	}
 	if service := current.Service(visit.service); service != nil && service.Engine() != nil {
 		visit.wanted.Model, visit.wanted.Adapter = visit.inquiry.Model, visit.inquiry.Adapter
--- a/kernel/directory/customer.go
+++ b/kernel/directory/customer.go
@@ -26,12 +26,18 @@
 // Burst returns the cost units that the customer may use at once.
 func (customer *Customer) Burst() float64 { return customer.spec.Burst }
 
-// Priority returns the customer's rank, or that of its route when it has none.
-func (customer *Customer) Priority(route int) int {
+// ranksPerCustomer is how many ranks of routes fit into one rank of customers;
+// deployments use three.
+const ranksPerCustomer = 3
+
+// Urgency returns the rank of a request on a route of that rank, 0 first. The
+// customer's rank goes first; requests of customers of one rank go by their
+// routes.
+func (customer *Customer) Urgency(route int) int {
 	if customer.spec.Priority == nil {
 		return route
 	}
-	return *customer.spec.Priority
+	return *customer.spec.Priority*ranksPerCustomer + min(route, ranksPerCustomer-1)
 }
 
 // Cost returns what a request of that many tokens costs; zero tokens stand for
--- a/kernel/directory/route.go
+++ b/kernel/directory/route.go
@@ -53,6 +53,22 @@
 // Objective returns the time within which an answer is worth most.
 func (route *Route) Objective() time.Duration { return route.spec.Objective }
 
+// The platform's page on how long callers wait for an event of a stream.
+const (
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4 // objectives
+	gapPatience       = 8 // longest pauses that are on time
+)
+
+// Patience returns how long callers wait for the first or the next event of a
+// stream before they leave; zero stands for the whole deadline.
+func (route *Route) Patience() time.Duration {
+	if route.spec.Kind != Stream {
+		return 0
+	}
+	return max(leastPatience, objectivePatience*route.spec.Objective, gapPatience*route.spec.EventGap)
+}
+
 // Priority returns the route's rank; 0 is the most urgent.
 func (route *Route) Priority() int { return route.spec.Priority }
 
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -195,11 +195,11 @@
 	if !loading || now.After(done) {
 		done = now.Add(board.loadTime(request))
 	}
-	left := request.Deadline.Sub(now)
+	left := request.Begin.Sub(now)
 	if wait := done.Sub(now); wait > time.Duration(float64(left)*deadlineMargin) {
 		return Refuse{Reason: NotResident, After: wait}
 	}
-	return Hold{Reason: NotResident, Until: request.Deadline}
+	return Hold{Reason: NotResident, Until: request.Begin}
 }
 
 // loadTime returns how long it takes until a model that nobody loads yet is
@@ -222,7 +222,7 @@
 }
 
 func admit(request *Request, best *replica, wait time.Duration, fetch bool, now time.Time) Decision {
-	left := request.Deadline.Sub(now)
+	left := request.Begin.Sub(now)
 	if request.Model != "" && wait > time.Duration(float64(left)*deadlineMargin) {
 		return Refuse{Reason: Saturated, After: max(wait-left/2, shortestAfter)}
 	}
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -26,6 +26,7 @@
 	Urgency   int // 0 is the most urgent
 	Arrived   time.Time
 	Objective time.Duration // to the first event, from Arrived
+	Begin     time.Time     // latest first event, after which the caller leaves
 	Deadline  time.Time     // latest end
 	Returned  bool          // the caller was refused before
 }
