Leave out targets that stand still

Now a target whose agent and answers have both been silent for 400 ms, with a request waiting, takes none.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -86,6 +86,7 @@
 	count, err := relay.answer.Read(relay.chunk)
 	if count > 0 {
 		relay.flight.begin()
+		relay.flight.sign()
 		if taken := relay.take(relay.chunk[:count]); taken != nil {
 			return taken
 		}
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -40,6 +40,7 @@
 	begun   bool
 	ended   bool
 	handed  time.Time
+	signed  time.Time
 	outcome dispatch.Outcome
 }
 
@@ -64,6 +65,22 @@
 	gateway.board.Begun(flight.target.Key(), flight.number, gateway.clock.Now())
 }
 
+// sign records that the target has sent something, a few times a second.
+func (flight *flight) sign() {
+	gateway := flight.visit.gateway
+	now := gateway.clock.Now()
+	if now.Sub(flight.signed) < signPeriod {
+		return
+	}
+	flight.signed = now
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.board.Sign(flight.target.Key(), now)
+}
+
+// signPeriod is between two records of one flight's events.
+const signPeriod = 100 * time.Millisecond
+
 // end records how the flight ended; later calls do nothing.
 func (flight *flight) end(outcome dispatch.Outcome) {
 	if flight.ended {
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		takers++
-		if !replica.holds(request.Model) {
+		if !replica.holds(request.Model) || replica.silent(now) {
 			continue
 		}
 		holders++
@@ -303,12 +303,20 @@
 	}
 }
 
+// Sign records that a target has sent something.
+func (board *Board) Sign(key directory.TargetKey, now time.Time) {
+	if replica := board.replicas[key]; replica != nil {
+		replica.sign = now
+	}
+}
+
 // Begun records a flight's first event.
 func (board *Board) Begun(key directory.TargetKey, number uint64, now time.Time) {
 	replica := board.replicas[key]
 	if replica == nil {
 		return
 	}
+	replica.sign = now
 	flight := replica.flights[number]
 	if flight == nil || flight.started {
 		return
@@ -337,7 +345,7 @@
 	delete(replica.flights, number)
 	switch outcome {
 	case Answered:
-		replica.failures, replica.rest = 0, time.Time{}
+		replica.failures, replica.rest, replica.sign = 0, time.Time{}, now
 	case Failed, Declined:
 		replica.fail(now)
 	}
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -19,6 +19,7 @@
 	backoffFirst   = 250 * time.Millisecond
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
+	silence        = 400 * time.Millisecond // four periods of an agent's reports
 	leastBusy      = 100 * time.Millisecond // assumed of an order that takes longer than it should
 )
 
@@ -44,6 +45,7 @@
 	rest     time.Time // sent no work before, unless nothing else is left
 	cached   map[string]time.Time
 	fetching map[string]time.Time // MODEL/ADAPTER asked for
+	sign     time.Time            // when the target last answered or sent an event
 }
 
 func newReplica(target *directory.Target) *replica {
@@ -67,6 +69,21 @@
 	return replica.reported && now.Sub(replica.report.At) < reportLife
 }
 
+// silent says whether the target seems to stand still: its agent, which stands
+// on the same machine, says nothing, and neither does the target although it
+// has requests to answer.
+func (replica *replica) silent(now time.Time) bool {
+	if !replica.reported || now.Sub(replica.report.At) < silence || now.Sub(replica.sign) < silence {
+		return false
+	}
+	for _, flight := range replica.flights {
+		if now.Sub(flight.sent) >= silence {
+			return true
+		}
+	}
+	return false
+}
+
 // leaving says whether the target takes no new work.
 func (replica *replica) leaving() bool {
 	return replica.gone || replica.target.Draining() || replica.reported && replica.report.Draining
