--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"net/netip"
+	"reflect"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,6 +25,7 @@
 const (
 	reportPeriod   = 100 * time.Millisecond
 	pressingPeriod = 4 * time.Millisecond // while requests wait for an adapter, which takes 5 to 14 ms
+	fullPeriod     = time.Second          // between two messages with all that the target holds, when nothing changes
 	listenerLife   = 3 * time.Second      // entries that have not greeted for that long are told nothing
 	startRetry     = 300 * time.Millisecond
 	catalogueRest  = 2 * time.Second        // between two readings of the configuration
@@ -49,13 +52,14 @@
 	control   *loop.Loop
 	socket    *datagram.Socket
 	keeper    *holding.Keeper
-	listeners map[netip.AddrPort]time.Time
+	listeners map[netip.AddrPort]*listener
 	target    string // ID of the target's present start
 	born      int64
 	fence     uint64 // 0 while none is known, so that no order may be given
 	version   uint64 // of the configuration that the catalogue is from
 	announced uint64 // newest version that entries have told
-	number    uint64
+	number    uint64 // of messages
+	holding   uint64 // of changes of what the target holds
 	report    directory.Report
 	reported  bool
 	asking    bool
@@ -66,7 +70,7 @@
 func New(options Options) *Steward {
 	return &Steward{
 		options: options, log: options.Logs.Part("agent", options.Name), control: loop.New(),
-		keeper: holding.New(), listeners: map[netip.AddrPort]time.Time{},
+		keeper: holding.New(), listeners: map[netip.AddrPort]*listener{},
 	}
 }
 
@@ -101,7 +105,7 @@
 	now := steward.options.Clock.Now()
 	switch message := message.(type) {
 	case *wire.EntryState:
-		steward.listeners[from] = now
+		steward.greet(from, now)
 		steward.announced = max(steward.announced, message.Version)
 		for _, used := range message.Used {
 			steward.keeper.Use(used.Model, used.Adapter, now)
@@ -112,6 +116,22 @@
 	steward.advance(ctx)
 }
 
+// listener is an entry that wants to hear of the target.
+type listener struct {
+	greeted time.Time
+	holding uint64    // last change of the holding that it was told
+	full    time.Time // when it was told the holding
+}
+
+func (steward *Steward) greet(from netip.AddrPort, now time.Time) {
+	known := steward.listeners[from]
+	if known == nil {
+		known = &listener{}
+		steward.listeners[from] = known
+	}
+	known.greeted = now
+}
+
 func (steward *Steward) command(from netip.AddrPort, command *wire.Command, now time.Time) {
 	sender := from.String()
 	if command.Target != steward.target || steward.fence == 0 {
@@ -131,6 +151,7 @@
 		ID: command.ID, From: sender, Fence: command.Fence, Unload: command.Unload, Load: command.Load, Latest: latest,
 	}, now)
 	if taken {
+		steward.holding++
 		steward.log.Infof("planner with fence %d asks to load %q and unload %q", command.Fence, command.Load, command.Unload)
 		steward.tell()
 	}
@@ -210,6 +231,7 @@
 func (steward *Steward) install(parsed *directory.Directory, revision directory.Cursor) {
 	if steward.fence == 0 {
 		steward.fence = uint64(revision)
+		steward.holding++
 		steward.log.Infof("orders carry fence %d", steward.fence)
 	}
 	steward.version = parsed.Version()
@@ -284,10 +306,14 @@
 	if !steward.reported {
 		steward.log.Infof("regained the target")
 	}
-	changed := !steward.reported || len(report.Models) != len(steward.report.Models) || report.Busy != steward.report.Busy ||
-		report.Draining != steward.report.Draining || report.Sequence != steward.report.Sequence
+	changed := !steward.reported || report.Busy != steward.report.Busy || report.Draining != steward.report.Draining ||
+		report.Sequence != steward.report.Sequence || !reflect.DeepEqual(report.Models, steward.report.Models) ||
+		!slices.Equal(report.Pending, steward.report.Pending)
 	steward.report, steward.reported = report, true
 	steward.keeper.Reported(report)
+	if changed {
+		steward.holding++
+	}
 	if changed || report.At.Sub(steward.told) >= reportPeriod {
 		steward.tell()
 	}
@@ -302,14 +328,20 @@
 	steward.told = now
 	steward.number++
 	state := steward.state(now)
-	for listener, greeted := range steward.listeners {
-		if now.Sub(greeted) > listenerLife {
+	for listener, entry := range steward.listeners {
+		if now.Sub(entry.greeted) > listenerLife {
 			delete(steward.listeners, listener)
 			continue
 		}
 		state.Entries = append(state.Entries, listener.String())
 	}
-	for listener := range steward.listeners {
+	short := state.LoadOnly()
+	for listener, entry := range steward.listeners {
+		if entry.holding == steward.holding && now.Sub(entry.full) < fullPeriod {
+			steward.send(listener, short)
+			continue
+		}
+		entry.holding, entry.full = steward.holding, now
 		steward.send(listener, state)
 	}
 }
@@ -321,6 +353,7 @@
 		Starting: report.Starting, Busy: report.Busy, Draining: report.Draining, Leaves: report.Leaves,
 		Sequence: report.Sequence, UsedKV: report.UsedKV, TotalKV: report.TotalKV, Pending: report.Pending,
 		Host: report.Host, Disk: report.Disk, Able: steward.fence != 0, PlanFence: steward.keeper.Fence(),
+		Full: true, Holding: steward.holding,
 	}
 	for _, resident := range steward.keeper.Models() {
 		state.Models = append(state.Models, wire.ResidentState{Model: resident.Model, Adapters: resident.Adapters})
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -271,6 +271,13 @@
 		peers.mu.Unlock()
 		return // overtaken on the way
 	}
+	if !state.Full {
+		if !known || before.state.Holding != state.Holding {
+			peers.mu.Unlock()
+			return // the holding that it speaks of has not come yet, and is sent again
+		}
+		state.TakeHolding(before.state)
+	}
 	peers.states[key] = heard{state: state, at: now}
 	for other, one := range peers.states {
 		if now.Sub(one.at) > stateLife {
@@ -390,7 +397,7 @@
 	gateway.mu.Lock()
 	gateway.board.Fetching(target.Key(), &visit.wanted, now)
 	gateway.mu.Unlock()
-	patience := time.Duration(float64(visit.deadline.Sub(now)) * adapterPart)
+	patience := time.Duration(float64(visit.wanted.Begin.Sub(now)) * adapterPart)
 	ctx, cancel := context.WithTimeout(visit.ctx, patience)
 	defer cancel()
 	done, reason := gateway.peers.command(ctx, address, adapterRepeat, &wire.Command{
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -68,6 +68,31 @@
 	Able      bool          // the agent may give orders
 	PlanFence uint64        // highest fence of the planners that the agent has heard
 	Entries   []string      // addresses of the entries that greeted lately
+	Full      bool          // the message holds the fields that TakeHolding takes over
+	Holding   uint64        // number of the last change of these fields
+}
+
+// TakeHolding takes over what a target holds from an earlier full message.
+func (targetState *TargetState) TakeHolding(full *TargetState) {
+	targetState.TotalKV = full.TotalKV
+	targetState.Models = full.Models
+	targetState.Pending = full.Pending
+	targetState.Host = full.Host
+	targetState.Disk = full.Disk
+	targetState.Begun = full.Begun
+	targetState.Loading = full.Loading
+	targetState.Able = full.Able
+	targetState.PlanFence = full.PlanFence
+	targetState.Entries = full.Entries
+}
+
+// LoadOnly returns a copy without what the target holds, for messages between
+// two changes of it.
+func (targetState *TargetState) LoadOnly() *TargetState {
+	short := *targetState
+	short.TakeHolding(&TargetState{})
+	short.Full = false
+	return &short
 }
 
 // Command asks an agent for a change of what its target holds.
@@ -267,6 +292,8 @@
 	writer.flag(20, targetState.Able)
 	writer.varint(21, targetState.PlanFence)
 	writer.texts(22, targetState.Entries)
+	writer.flag(23, targetState.Full)
+	writer.varint(24, targetState.Holding)
 }
 
 func (targetState *TargetState) field(number protowire.Number, value value) {
@@ -326,6 +353,10 @@
 		targetState.PlanFence = value.number
 	case 22:
 		targetState.Entries = append(targetState.Entries, value.text())
+	case 23:
+		targetState.Full = value.flag()
+	case 24:
+		targetState.Holding = value.number
 	}
 }
 
