Load again what a restarted target held, know restarts from agents, and unload only idle models

Also: the speed of a target was measured without the tokens ahead of a request, which made it look slower the more it had to do.

--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -37,6 +37,7 @@
 type Options struct {
 	Name    string
 	Address string // of the datagrams, HOST:PORT
+	Target  string // address of the target
 	Service string // of the target; empty when unknown
 	Engine  directory.Engine
 	Source  directory.Source
@@ -63,6 +64,7 @@
 	report    directory.Report
 	reported  bool
 	asking    bool
+	recalled  bool      // used by followCatalogue alone
 	told      time.Time // when entries were told last
 }
 
@@ -216,6 +218,10 @@
 			continue
 		}
 		steward.control.Post(func() { steward.install(parsed, revision) })
+		if !steward.recalled {
+			steward.recalled = true
+			steward.recall(ctx)
+		}
 		for ctx.Err() == nil {
 			steward.pause(ctx, catalogueRest)
 			newer := false
@@ -240,6 +246,31 @@
 	}
 }
 
+// recall looks up what an earlier start of the target held, which the platform's
+// list still tells for a while.
+func (steward *Steward) recall(ctx context.Context) {
+	document, err := steward.options.Source.Targets(ctx)
+	if err != nil {
+		steward.log.Warnf("list of targets is not at hand, earlier models are not loaded again: %v", err)
+		return
+	}
+	targets, _, err := steward.options.Source.ParseTargets(document)
+	if err != nil {
+		steward.log.Warnf("list of targets cannot be read, earlier models are not loaded again: %v", err)
+		return
+	}
+	steward.control.Post(func() {
+		for _, target := range targets {
+			earlier := target.Born() < steward.born && target.ID() != steward.target
+			if target.Address() == steward.options.Target && earlier && len(target.Models()) > 0 {
+				steward.log.Infof("target held %d models at its earlier start %s", len(target.Models()), target.ID())
+				steward.keeper.Restore(target.Models())
+			}
+		}
+		steward.advance(ctx)
+	})
+}
+
 func (steward *Steward) pause(ctx context.Context, pause time.Duration) {
 	select {
 	case <-steward.options.Clock.After(pause):
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -147,6 +147,22 @@
 	gateway.changed.raise()
 }
 
+// replaced takes note of another start of the target on a host, before the
+// list shows it.
+func (follower *follower) replaced(host, id string, born int64) {
+	gateway := follower.gateway
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if !follower.roster.Replaced(host, id, born, gateway.clock.Now()) {
+		return
+	}
+	gateway.log.Infof("target on %s is now %s, born %d", host, id, born)
+	follower.targets = follower.roster.Targets()
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.board.SetTargets(follower.targets)
+}
+
 // addresses returns the addresses of all targets.
 func (follower *follower) addresses() map[string]bool {
 	follower.mu.Lock()
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -182,7 +182,7 @@
 	case *wire.EntryState:
 		peers.hearEntry(from, message)
 	case *wire.TargetState:
-		peers.hearTarget(message)
+		peers.hearTarget(from, message)
 	case *wire.Result:
 		peers.mu.Lock()
 		waiting := peers.waiting[message.ID]
@@ -261,7 +261,7 @@
 }
 
 // hearTarget takes in an agent's message.
-func (peers *peers) hearTarget(state *wire.TargetState) {
+func (peers *peers) hearTarget(from netip.AddrPort, state *wire.TargetState) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	key := directory.TargetKey{ID: state.Target, Born: state.Born}
@@ -289,6 +289,9 @@
 	}
 	loading := peers.loading(now)
 	peers.mu.Unlock()
+	if !known {
+		gateway.follower.replaced(from.Addr().String(), state.Target, state.Born)
+	}
 	gateway.mu.Lock()
 	gateway.board.SetReport(key, reportOf(state, now))
 	gateway.board.SetLoading(loading)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -290,7 +290,7 @@
 	case verdict.NotRun:
 		answer.Discard()
 		gateway.declined(flight, verdict)
-		return attempted{ran: code.RanNo, fault: code.New(code.EngineRefused, code.RanNo, "target %s declined with status %d", target.ID(), status).WithRetryAfter(retryAfterTimeout)}
+		return attempted{ran: code.RanNo, fault: code.New(code.Declined, code.RanNo, "target %s declined with status %d", target.ID(), status).WithRetryAfter(retryAfterTimeout)}
 	case status < fasthttp.StatusMultipleChoices && (!verdict.Sealed || verdict.Encoded):
 		answer.Abort()
 		flight.end(dispatch.Failed)
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -36,6 +36,18 @@
 // same ID.
 func (target *Target) Key() TargetKey { return TargetKey{target.spec.ID, target.spec.Born} }
 
+// Born returns the time of the target's start in Unix milliseconds, 0 when it
+// says nothing.
+func (target *Target) Born() int64 { return target.spec.Born }
+
+// Restarted returns the target as it is after another start at the same
+// address.
+func (target *Target) Restarted(id string, born int64) *Target {
+	spec := target.spec
+	spec.ID, spec.Born, spec.Draining, spec.Models = id, born, false, nil
+	return NewTarget(spec)
+}
+
 // TargetKey is a target's ID and the time of its start.
 type TargetKey struct {
 	ID   string
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -240,9 +240,10 @@
 	if replica == nil {
 		return board.next
 	}
+	unread := replica.unread(request)
 	replica.flights[board.next] = &flight{
-		sent: now, tokens: replica.unread(request), memory: request.memory(), urgency: request.Urgency,
-		started: request.Model == "",
+		sent: now, tokens: unread, queued: unread + replica.ahead(request.Urgency, now), memory: request.memory(),
+		urgency: request.Urgency, started: request.Model == "",
 	}
 	replica.keep(request, now)
 	return board.next
@@ -321,7 +322,7 @@
 	if flight == nil || flight.started {
 		return
 	}
-	replica.observe(flight.tokens, now.Sub(flight.sent))
+	replica.observe(flight.queued, now.Sub(flight.sent))
 	flight.started = true
 }
 
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -26,7 +26,8 @@
 // flight is a request that this instance sent to a target.
 type flight struct {
 	sent    time.Time
-	tokens  int // to read before its first event
+	tokens  int // of its own to read before its first event
+	queued  int // tokens to read before its first event, with those ahead of it
 	memory  int
 	urgency int
 	started bool
--- a/kernel/holding/keeper.go
+++ b/kernel/holding/keeper.go
@@ -51,6 +51,7 @@
 	service  *directory.Service
 	report   directory.Report
 	reported bool
+	known    bool // there has been a report
 	waiting  bool // for the answer to an order
 	refresh  bool // the report is older than the last order
 	asks     []ask
@@ -62,6 +63,7 @@
 	results  []Result
 	loads    []load
 	current  load
+	restore  []string // models that an earlier start of the target held
 }
 
 // load is a load of weights that the target accepted.
@@ -81,11 +83,13 @@
 // Reported takes in the target's report. A report of another start than before
 // voids all that was under way.
 func (keeper *Keeper) Reported(report directory.Report) {
-	if keeper.reported && report.Born != keeper.report.Born {
+	if keeper.known && report.Born != keeper.report.Born {
 		keeper.plan, keeper.begun, keeper.waiting = nil, false, false
 		keeper.current = load{}
 		keeper.loads = nil
+		keeper.Restore(keeper.report.Models)
 	}
+	keeper.known = true
 	keeper.report, keeper.reported, keeper.refresh = report, true, false
 	if !report.Busy && keeper.current.model != "" && !report.At.Before(keeper.current.at) {
 		keeper.current = load{}
@@ -93,6 +97,15 @@
 	keeper.settle()
 }
 
+// Restore tells what an earlier start of the target held. Whatever of it is on
+// hand at the target is loaded again, without waiting for a planner.
+func (keeper *Keeper) Restore(models []directory.Resident) {
+	keeper.restore = nil
+	for _, resident := range models {
+		keeper.restore = append(keeper.restore, resident.Model)
+	}
+}
+
 // Lost records that the target does not report.
 func (keeper *Keeper) Lost() { keeper.reported = false }
 
@@ -201,6 +214,9 @@
 		return directory.Order{}, false
 	}
 	order, ok = keeper.planned(now)
+	if !ok {
+		order, ok = keeper.restored()
+	}
 	if !ok {
 		order, ok = keeper.adapter(now)
 	}
@@ -257,6 +273,25 @@
 	return directory.Order{Load: true, Model: model.Name()}, true
 }
 
+// restored returns the order that brings back a model of an earlier start.
+func (keeper *Keeper) restored() (directory.Order, bool) {
+	for len(keeper.restore) > 0 {
+		model := keeper.service.Model(keeper.restore[0])
+		if model == nil || keeper.holds(model.Name()) || !keeper.onHand(model.Name()) ||
+			keeper.weight()+model.Megabytes() > keeper.service.Engine().WeightsMegab {
+			keeper.restore = keeper.restore[1:]
+			continue
+		}
+		return directory.Order{Load: true, Model: model.Name()}, true
+	}
+	return directory.Order{}, false
+}
+
+// onHand says whether the target has a copy of a model's weights.
+func (keeper *Keeper) onHand(model string) bool {
+	return slices.Contains(keeper.report.Host, model) || slices.Contains(keeper.report.Disk, model)
+}
+
 // weight returns the megabytes that the target holds or is about to hold.
 func (keeper *Keeper) weight() float64 {
 	sum := 0.0
@@ -354,7 +389,7 @@
 	switch {
 	case slices.Contains(keeper.report.Host, name):
 		begun.ends = now.Add(model.HostLoad())
-	case slices.Contains(keeper.report.Disk, name):
+	case keeper.onHand(name):
 		begun.ends = now.Add(model.DiskLoad())
 	default:
 		begun.ends = now.Add(model.StoreLoad())
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -22,6 +22,7 @@
 	diskBurden    = 0.12                    // the same, of a load from the target's own disk
 	commandLife   = 4 * time.Second         // a command that shows no effect by then is taken as lost
 	concurrency   = 0.85                    // part of rate x duration of loads that the store serves at full speed
+	victimShare   = 0.15                    // part of the mean work up to which a model may go; an unload waits for the model's requests
 	maxVictims    = 2
 	swapsAtOnce   = 4 // commands of one look that unload something; the next look sees their effect
 )
@@ -346,7 +347,7 @@
 func (draft *draft) victims(holder *holder, megabytes float64) (victims []string, freed float64) {
 	var names []string
 	for name := range holder.sure {
-		if holder.models[name] && draft.sure[name] > 1 {
+		if holder.models[name] && draft.sure[name] > 1 && draft.share(name) <= victimShare*draft.mean {
 			names = append(names, name)
 		}
 	}
