Give up targets that stand still, and let the reader of a connection close it

Now an idle connection ends by a deadline of its reader, and requests at a target of which neither agent nor answers have been heard for 2 s fail at once, or go on elsewhere where they may.

--- a/entry/gateway/caller.go
+++ b/entry/gateway/caller.go
@@ -46,7 +46,8 @@
 	defer callers.mu.Unlock()
 	for caller := range callers.open {
 		if !caller.busy.Load() && !caller.begun.Load() && caller.opened.Before(before) {
-			_ = caller.Conn.Close()
+			// Closing it here could cut a request that is being read now.
+			_ = caller.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -79,6 +79,7 @@
 	planner   *planning
 	mu        sync.Mutex // guards what follows
 	board     *dispatch.Board
+	flights   map[uint64]*flight // sends that have not ended
 	allowance *allowance.Allowance
 	retries   *retry.Budget
 }
@@ -94,6 +95,7 @@
 		watched:   newWatched(),
 		changed:   newSignal(),
 		board:     dispatch.NewBoard(options.DataCentre),
+		flights:   map[uint64]*flight{},
 		allowance: allowance.New(options.RateWindow),
 		retries:   retry.NewBudget(),
 	}
@@ -156,7 +158,7 @@
 	group.Go(func() error { return gateway.follower.run(ctx) })
 	group.Go(func() error { return gateway.peers.run(ctx) })
 	group.Go(func() error { return gateway.planner.run(ctx) })
-	group.Go(func() error { return gateway.watched.run(ctx, gateway.clock) })
+	group.Go(func() error { return gateway.watched.run(ctx, gateway) })
 	group.Go(func() error { return gateway.keepHouse(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -41,15 +41,19 @@
 	ended   bool
 	handed  time.Time
 	signed  time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
 	outcome dispatch.Outcome
 }
 
 func (visit *visit) launch(target *directory.Target) *flight {
 	now := visit.gateway.clock.Now()
 	flight := &flight{visit: visit, target: target, handed: now, outcome: dispatch.Failed}
+	flight.ctx, flight.cancel = context.WithCancel(visit.ctx)
 	visit.gateway.mu.Lock()
 	defer visit.gateway.mu.Unlock()
 	flight.number = visit.gateway.board.Sent(target.Key(), &visit.wanted, now)
+	visit.gateway.flights[flight.number] = flight
 	return flight
 }
 
@@ -92,6 +96,20 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.board.Ended(flight.target.Key(), flight.number, outcome, gateway.clock.Now())
+	delete(gateway.flights, flight.number)
+	flight.cancel()
+}
+
+// abandon gives up the requests at targets that stand still.
+func (gateway *Gateway) abandon() {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	now := gateway.clock.Now()
+	for _, flight := range gateway.flights {
+		if gateway.board.StandsStill(flight.target.Key(), now) {
+			flight.cancel()
+		}
+	}
 }
 
 // send passes the request on and reads the head of the answer.
@@ -110,7 +128,7 @@
 		forward.Customer = visit.customer.Name()
 	}
 	gateway.dialect.WriteRequest(&header.Header, &visit.request.Header, forward)
-	return gateway.pool.Do(visit.ctx, exchange.Call{
+	return gateway.pool.Do(flight.ctx, exchange.Call{
 		Address: flight.target.Address(),
 		Header:  &header.Header,
 		Body:    visit.request.Body(),
--- a/entry/gateway/watched.go
+++ b/entry/gateway/watched.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"endiverill.example/entry/exchange"
-	"endiverill.example/kernel/clock"
 )
 
 // lookPeriod is between two looks at the callers of open requests; targets may
@@ -38,13 +37,14 @@
 	delete(watched.calls, visit)
 }
 
-func (watched *watched) run(ctx context.Context, clock clock.Clock) error {
+func (watched *watched) run(ctx context.Context, gateway *Gateway) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-clock.After(lookPeriod):
+		case <-gateway.clock.After(lookPeriod):
 			watched.look()
+			gateway.abandon()
 		}
 	}
 }
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -304,6 +304,13 @@
 	}
 }
 
+// StandsStill says whether a target has been silent for so long that its
+// requests are given up.
+func (board *Board) StandsStill(key directory.TargetKey, now time.Time) bool {
+	replica := board.replicas[key]
+	return replica != nil && replica.silentFor(standstill, now)
+}
+
 // Sign records that a target has sent something.
 func (board *Board) Sign(key directory.TargetKey, now time.Time) {
 	if replica := board.replicas[key]; replica != nil {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -20,6 +20,7 @@
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
 	silence        = 400 * time.Millisecond // four periods of an agent's reports
+	standstill     = 2 * time.Second        // a target silent for that long is given up; callers of streams leave after 2 s or more
 	leastBusy      = 100 * time.Millisecond // assumed of an order that takes longer than it should
 )
 
@@ -73,12 +74,14 @@
 // silent says whether the target seems to stand still: its agent, which stands
 // on the same machine, says nothing, and neither does the target although it
 // has requests to answer.
-func (replica *replica) silent(now time.Time) bool {
-	if !replica.reported || now.Sub(replica.report.At) < silence || now.Sub(replica.sign) < silence {
+func (replica *replica) silent(now time.Time) bool { return replica.silentFor(silence, now) }
+
+func (replica *replica) silentFor(least time.Duration, now time.Time) bool {
+	if !replica.reported || now.Sub(replica.report.At) < least || now.Sub(replica.sign) < least {
 		return false
 	}
 	for _, flight := range replica.flights {
-		if now.Sub(flight.sent) >= silence {
+		if now.Sub(flight.sent) >= least {
 			return true
 		}
 	}
