Keep a part of each customer's rate for entries that spend at the same time; follow settings and newer configurations

Cause: the property test of the allowance found a history of two entries that spend a full bucket in one period (10,500 within a window of 10,467).

--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -5,13 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"endiverill.example/kernel/directory"
 )
 
 const (
-	configWait   = 4 * time.Second        // of one watch; a connection that went silent shows by then
+	configWait   = 3 * time.Second        // of one watch; a connection that went silent shows by then
 	configRetry  = 150 * time.Millisecond // after a call that failed
 	targetPeriod = 800 * time.Millisecond // between readings of the list; well under the time to notice a leaving target
 	targetRetry  = 300 * time.Millisecond
@@ -27,10 +28,11 @@
 	config  []byte // documents as they came, for peers
 	list    []byte
 	listAt  time.Time
+	newer   chan struct{} // a peer has a newer configuration
 }
 
 func newFollower(gateway *Gateway) *follower {
-	return &follower{gateway: gateway, source: gateway.options.Source, roster: directory.NewRoster()}
+	return &follower{gateway: gateway, source: gateway.options.Source, roster: directory.NewRoster(), newer: make(chan struct{}, 1)}
 }
 
 func (follower *follower) run(ctx context.Context) error {
@@ -51,7 +53,11 @@
 	cursor := directory.Cursor(0)
 	healthy := true
 	for ctx.Err() == nil {
-		document, next, err := follower.source.Configuration(ctx, cursor, configWait)
+		document, next, err := follower.watchConfig(ctx, cursor)
+		if errors.Is(err, errNewer) {
+			cursor = 0
+			continue
+		}
 		if err != nil {
 			if healthy {
 				follower.gateway.log.Warnf("lost the configuration's source: %v", err)
@@ -74,6 +80,43 @@
 	return nil
 }
 
+// errNewer ends a watch when a peer tells of a newer configuration.
+var errNewer = errors.New("a peer has a newer configuration")
+
+// watchConfig waits for the configuration to change, but no longer when a peer
+// has a newer one.
+func (follower *follower) watchConfig(ctx context.Context, cursor directory.Cursor) ([]byte, directory.Cursor, error) {
+	if cursor == 0 {
+		return follower.source.Configuration(ctx, cursor, 0) // reads the newest anyway
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-follower.newer:
+			cancel(errNewer)
+		case <-ctx.Done():
+		}
+	}()
+	document, next, err := follower.source.Configuration(ctx, cursor, configWait)
+	if err != nil && errors.Is(context.Cause(ctx), errNewer) {
+		return nil, 0, errNewer
+	}
+	return document, next, err
+}
+
+// behind records that a peer has a configuration of that version.
+func (follower *follower) behind(version uint64) {
+	current := follower.gateway.current.Load()
+	if current != nil && version <= current.Version() {
+		return
+	}
+	select {
+	case follower.newer <- struct{}{}:
+	default: // known already
+	}
+}
+
 // takeConfig puts a configuration in force unless it is older than the one in
 // force.
 func (follower *follower) takeConfig(document []byte) {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -96,7 +96,7 @@
 		changed:   newSignal(),
 		board:     dispatch.NewBoard(options.DataCentre),
 		flights:   map[uint64]*flight{},
-		allowance: allowance.New(options.RateWindow),
+		allowance: allowance.New(options.RateWindow, tellPeriod),
 		retries:   retry.NewBudget(),
 	}
 	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -126,7 +126,10 @@
 	if current := gateway.current.Load(); current != nil {
 		state.Version = current.Version()
 	}
+	period := peers.period()
 	gateway.mu.Lock()
+	gateway.allowance.SetPeriod(period)
+	gateway.allowance.Told(now)
 	state.Spent = listTotals(gateway.allowance.Spent())
 	state.Levels = listTotals(gateway.allowance.Levels())
 	gateway.mu.Unlock()
@@ -215,6 +218,7 @@
 		delete(peers.totals, from)
 		return
 	}
+	gateway.follower.behind(state.Version)
 	peers.entries[from] = now
 	wanted := totalsOf(state.Wanted)
 	before, known := peers.totals[from]
--- a/kernel/allowance/allowance.go
+++ b/kernel/allowance/allowance.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	silentAfter  = 1200 * time.Millisecond // six periods of the entries' messages
-	forgetAfter  = 30 * time.Second        // an entry unheard for that long is taken as ended
-	longestRetry = 5 * time.Second
-	mutedRefill  = 0.05        // least part of the rate that is left to this instance
-	headroom     = time.Second // of the rate, which a bucket holds beside the burst, so that uneven arrivals within the window pass
-	windowSlices = 32
+	silentPeriods = 2.25             // periods of the entries' messages without one after which a peer counts as cut off
+	forgetAfter   = 30 * time.Second // an entry unheard for that long is taken as ended
+	longestRetry  = 5 * time.Second
+	headroom      = time.Second // of the rate, which a bucket holds beside the burst, so that uneven arrivals within the window pass
+	windowSlices  = 32
 )
 
 // Grant is what was taken for one request.
@@ -35,6 +34,8 @@
 	level       float64
 	at          time.Time
 	spent       float64   // by this instance since its start
+	base        float64   // level when the peers were told last
+	untold      float64   // spent by this instance since then
 	window      []float64 // spent by the fleet, by slice of time
 	slice       int64     // number of the newest slice
 }
@@ -81,14 +82,15 @@
 // Allowance holds all customers' buckets.
 type Allowance struct {
 	length  time.Duration // of the window
+	period  time.Duration // between two messages of an entry
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
 
 // New returns an allowance without customers, which counts spending over a
-// window of that length.
-func New(window time.Duration) *Allowance {
-	return &Allowance{length: window, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+// window of that length. Entries tell each other what they spent every period.
+func New(window, period time.Duration) *Allowance {
+	return &Allowance{length: window, period: period, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
 func (allowance *Allowance) slice() time.Duration { return allowance.length / windowSlices }
@@ -115,7 +117,8 @@
 	}
 }
 
-// refill adds what came in since the last look, less the part of silent peers.
+// refill adds what came in since the last look. The parts of silent peers are
+// left to them, of the inflow as of what the bucket holds.
 func (allowance *Allowance) refill(name string, bucket *bucket, now time.Time) {
 	elapsed := now.Sub(bucket.at).Seconds()
 	if elapsed <= 0 {
@@ -124,14 +127,42 @@
 	bucket.at = now
 	gain := elapsed * bucket.rate
 	part := gain / float64(1+len(allowance.peers))
+	silent := 0
 	for _, peer := range allowance.peers {
-		if now.Sub(peer.heard) > silentAfter {
+		if allowance.silent(peer, now) {
 			peer.assumed[name] += part
 			gain -= part
+			silent++
 		}
 	}
-	gain = max(gain, elapsed*bucket.rate*mutedRefill)
-	bucket.level = min(bucket.level+gain, bucket.capacity())
+	heard := float64(1+len(allowance.peers)-silent) / float64(1+len(allowance.peers))
+	bucket.level = min(bucket.level+gain, bucket.capacity()*heard)
+	bucket.base = min(bucket.base+gain, bucket.capacity()*heard)
+}
+
+func (allowance *Allowance) silent(peer *peer, now time.Time) bool {
+	return now.Sub(peer.heard) > time.Duration(silentPeriods*float64(allowance.period))
+}
+
+// Told records that the peers are being told what this instance has spent.
+func (allowance *Allowance) Told(now time.Time) {
+	for name, bucket := range allowance.buckets {
+		allowance.refill(name, bucket, now)
+		bucket.base, bucket.untold = bucket.level, 0
+	}
+}
+
+// SetPeriod sets the time between two messages of an entry.
+func (allowance *Allowance) SetPeriod(period time.Duration) { allowance.period = period }
+
+// spendable returns what this instance may spend at once: entries that spend at
+// the same time do not see each other's spending before the next message, so
+// each leaves the others their parts. A first request may be larger.
+func (allowance *Allowance) spendable(bucket *bucket) float64 {
+	if bucket.untold <= 0 {
+		return bucket.level
+	}
+	return min(bucket.level, bucket.base/float64(1+len(allowance.peers))-bucket.untold)
 }
 
 // Take charges a request to a customer. When the rate is used up, it returns
@@ -144,7 +175,7 @@
 	allowance.refill(customer, bucket, now)
 	bucket.turn(now, allowance.slice())
 	// A request larger than the burst runs when the bucket is full.
-	missing := min(cost, bucket.burst) - bucket.level
+	missing := min(cost, bucket.burst) - allowance.spendable(bucket)
 	most := bucket.rate*allowance.length.Seconds() + bucket.burst
 	missing = max(missing, bucket.spentWithin()+cost-most)
 	if missing > 0 {
@@ -153,6 +184,7 @@
 	}
 	bucket.level -= cost
 	bucket.spent += cost
+	bucket.untold += cost
 	bucket.add(cost, now, allowance.slice())
 	return Grant{customer: customer, cost: cost}, 0, true
 }
@@ -165,6 +197,7 @@
 	}
 	bucket.level = min(bucket.level+grant.cost, bucket.capacity())
 	bucket.spent -= grant.cost
+	bucket.untold -= grant.cost
 	bucket.add(-grant.cost, now, allowance.slice())
 }
 
--- /dev/null
+++ b/kernel/directory/directory_test.go
@@ -0,0 +1,121 @@
+package directory
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endiverill.example/kernel/proof"
+)
+
+func TestMain(m *testing.M) { proof.Main(m) }
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefix := rapid.SampledFrom([]string{"/", "/a/", "/a/b/", "/ab/", "/a/b/c/", "/b/"})
+		spec := Spec{}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			spec.Routes = append(spec.Routes, NewRoute(RouteSpec{
+				Host: rapid.SampledFrom([]string{"One.example", "two.example"}).Draw(t, "host"), Prefix: prefix.Draw(t, "prefix"),
+			}))
+		}
+		path := prefix.Draw(t, "path") + rapid.SampledFrom([]string{"", "x", "b/c"}).Draw(t, "rest")
+		found := New(spec).Match("one.example:80", path)
+		longest := -1
+		for _, route := range spec.Routes {
+			if strings.EqualFold(route.spec.Host, "one.example") && strings.HasPrefix(path, route.spec.Prefix) {
+				longest = max(longest, len(route.spec.Prefix))
+			}
+		}
+		if found == nil {
+			assert.Equal(t, longest, -1)
+			return
+		}
+		assert.Equal(t, len(found.spec.Prefix), longest)
+	})
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	route := NewRoute(RouteSpec{Shares: []Share{{"a", 90}, {"b", 10}, {"c", 0}}})
+	assert.Equal(t, route.Pick(0), "a")
+	assert.Equal(t, route.Pick(0.89), "a")
+	assert.Equal(t, route.Pick(0.91), "b")
+	assert.Equal(t, route.Pick(0.999999), "b")
+	assert.Equal(t, NewRoute(RouteSpec{}).Pick(0.5), "")
+}
+
+func TestOnlyWhatMayBeRepeatedIsRepeatable(t *testing.T) {
+	for kind, repeatable := range map[Kind]bool{Once: false, Idempotent: true, Stream: false} {
+		assert.Equal(t, NewRoute(RouteSpec{Kind: kind}).Repeatable(), repeatable)
+	}
+	assert.Assert(t, NewRoute(RouteSpec{Kind: Stream, Resumable: true}).Repeatable())
+	assert.Assert(t, !NewRoute(RouteSpec{Kind: Once, Resumable: true}).Repeatable())
+}
+
+func TestCustomerRankGoesBeforeTheRoutes(t *testing.T) {
+	first, second := 0, 1
+	urgent := NewCustomer(CustomerSpec{Priority: &first})
+	other := NewCustomer(CustomerSpec{Priority: &second})
+	assert.Assert(t, urgent.Urgency(2) < other.Urgency(0))
+	assert.Assert(t, other.Urgency(0) < other.Urgency(1))
+	assert.Equal(t, NewCustomer(CustomerSpec{}).Urgency(2), 2)
+}
+
+func TestPatienceIsTheLongestOfThree(t *testing.T) {
+	route := func(objective, gap time.Duration) time.Duration {
+		return NewRoute(RouteSpec{Kind: Stream, Objective: objective, EventGap: gap}).Patience()
+	}
+	assert.Equal(t, route(100*time.Millisecond, 100*time.Millisecond), 2*time.Second)
+	assert.Equal(t, route(600*time.Millisecond, 0), 2400*time.Millisecond)
+	assert.Equal(t, route(600*time.Millisecond, 400*time.Millisecond), 3200*time.Millisecond)
+	assert.Equal(t, NewRoute(RouteSpec{Kind: Once}).Patience(), time.Duration(0))
+}
+
+func listed(id string, born int64) *Target {
+	return NewTarget(TargetSpec{ID: id, Born: born, Service: "s", Address: "10.0.0." + id[1:] + ":80", Slots: 1, Models: []Resident{{Model: "m"}}})
+}
+
+func ids(targets []*Target) map[string]bool {
+	found := map[string]bool{}
+	for _, target := range targets {
+		found[target.ID()] = true
+	}
+	return found
+}
+
+func TestRosterKeepsLapsedTargetsOnlyShortlyAfterAnOutage(t *testing.T) {
+	roster, now := NewRoster(), time.Unix(100, 0)
+	both := []*Target{listed("t1", 1), listed("t2", 1)}
+	roster.Update(both, now)
+	assert.Equal(t, len(roster.Update(both[:1], now)), 1, "without an outage a missing target is gone at once")
+	roster.Update(both, now)
+	roster.Failed()
+	assert.Equal(t, len(roster.Update(both[:1], now.Add(time.Second))), 2)
+	assert.Equal(t, len(roster.Update(both[:1], now.Add(2*time.Second))), 2)
+	assert.Equal(t, len(roster.Update(both[:1], now.Add(4*time.Second))), 1)
+}
+
+func TestRosterDropsALapsedTargetWhoseAddressIsUsedAgain(t *testing.T) {
+	roster, now := NewRoster(), time.Unix(100, 0)
+	roster.Update([]*Target{listed("t1", 1)}, now)
+	roster.Failed()
+	other := NewTarget(TargetSpec{ID: "t9", Born: 2, Service: "other", Address: "10.0.0.1:80", Slots: 1})
+	found := ids(roster.Update([]*Target{other}, now))
+	assert.Assert(t, found["t9"] && !found["t1"])
+}
+
+func TestRosterUsesARestartBeforeItIsListed(t *testing.T) {
+	roster, now := NewRoster(), time.Unix(100, 0)
+	old := listed("t1", 1)
+	roster.Update([]*Target{old}, now)
+	assert.Assert(t, roster.Replaced("10.0.0.1", "t2", 2, now))
+	assert.Assert(t, !roster.Replaced("10.0.0.1", "t2", 2, now))
+	assert.DeepEqual(t, ids(roster.Targets()), map[string]bool{"t2": true})
+	assert.DeepEqual(t, ids(roster.Update([]*Target{old}, now)), map[string]bool{"t2": true})
+	assert.Equal(t, len(roster.Targets()[0].Models()), 0, "what the earlier start held says nothing of this one")
+	assert.Equal(t, len(roster.Update(nil, now.Add(earlyLife+time.Second))), 0, "a start that is never listed is not used for good")
+	assert.Assert(t, !roster.Replaced("10.0.0.1", "t0", 0, now), "an older start replaces nothing")
+}
--- /dev/null
+++ b/kernel/dispatch/board_test.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/proof"
+)
+
+func TestMain(m *testing.M) { proof.Main(m) }
+
+var start = time.Unix(1000, 0)
+
+func target(id string) *directory.Target {
+	return directory.NewTarget(directory.TargetSpec{
+		ID: id, Service: "llm", Address: "10.0.0.1:80", DataCentre: "here", Slots: 4, Models: []directory.Resident{{Model: "m"}},
+	})
+}
+
+func board(ids ...string) (*Board, []directory.TargetKey) {
+	board := NewBoard("here")
+	var targets []*directory.Target
+	var keys []directory.TargetKey
+	for _, id := range ids {
+		targets = append(targets, target(id))
+		keys = append(keys, target(id).Key())
+	}
+	board.SetTargets(targets)
+	return board, keys
+}
+
+func request() *Request {
+	return &Request{
+		Service: "llm", Model: "m", Prompt: 1000, Output: 50, Arrived: start,
+		Begin: start.Add(2 * time.Second), Deadline: start.Add(10 * time.Second),
+	}
+}
+
+func sentTo(t assert.TestingT, decision Decision) string {
+	send, ok := decision.(Send)
+	assert.Assert(t, ok, "decision %#v", decision)
+	return send.Target.ID()
+}
+
+func TestRequestsSpreadOverTargets(t *testing.T) {
+	board, keys := board("a", "b", "c")
+	counts := map[string]int{}
+	for range 30 {
+		id := sentTo(t, board.Choose(request(), nil, start))
+		counts[id]++
+		for _, key := range keys {
+			if key.ID == id {
+				board.Sent(key, request(), start)
+			}
+		}
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 10, "b": 10, "c": 10})
+}
+
+func TestRequestIsRefusedWhenNoTargetBeginsInTime(t *testing.T) {
+	board, keys := board("a")
+	for range 60 {
+		board.Sent(keys[0], request(), start)
+	}
+	refuse, ok := board.Choose(request(), nil, start).(Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refuse.Reason, Saturated)
+	assert.Assert(t, refuse.After > 0)
+}
+
+func TestMoreUrgentRequestDoesNotWaitForLessUrgentOnes(t *testing.T) {
+	board, keys := board("a")
+	late := request()
+	late.Urgency = 2
+	for range 60 {
+		board.Sent(keys[0], late, start)
+		board.replicas[keys[0]].target = directory.NewTarget(directory.TargetSpec{ID: "a", Service: "llm", Slots: 1000})
+	}
+	assert.Equal(t, sentTo(t, board.Choose(request(), nil, start)), "a")
+}
+
+func TestSilentTargetIsLeftOut(t *testing.T) {
+	board, keys := board("a", "b")
+	for _, key := range keys {
+		board.SetReport(key, directory.Report{At: start, Models: []directory.Resident{{Model: "m"}}})
+	}
+	board.Sent(keys[0], request(), start)
+	now := start.Add(time.Second)
+	board.SetReport(keys[1], directory.Report{At: now, Starting: 3, Running: 2, Waiting: 1, Models: []directory.Resident{{Model: "m"}}})
+	assert.Equal(t, sentTo(t, board.Choose(request(), nil, now)), "b", "the empty-looking target has not answered for a second")
+	board.Sign(keys[0], now)
+	assert.Equal(t, sentTo(t, board.Choose(request(), nil, now)), "a")
+	assert.Assert(t, !board.StandsStill(keys[0], now))
+	assert.Assert(t, board.StandsStill(keys[0], now.Add(standstill)))
+}
+
+func TestFailingTargetRestsButIsNeverTheLastOneLost(t *testing.T) {
+	board, keys := board("a", "b")
+	for range failuresToRest {
+		number := board.Sent(keys[0], request(), start)
+		board.Ended(keys[0], number, Failed, start)
+	}
+	assert.Equal(t, sentTo(t, board.Choose(request(), nil, start)), "b")
+	assert.Equal(t, sentTo(t, board.Choose(request(), keys[1:], start)), "a")
+}
+
+func TestReportOfAnotherStartIsIgnored(t *testing.T) {
+	board, _ := board("a")
+	board.SetReport(directory.TargetKey{ID: "a", Born: 7}, directory.Report{At: start, Draining: true})
+	assert.Equal(t, sentTo(t, board.Choose(request(), nil, start)), "a")
+}
+
+func TestLeavingTargetTakesNothing(t *testing.T) {
+	board, keys := board("a")
+	board.SetReport(keys[0], directory.Report{At: start, Draining: true, Models: []directory.Resident{{Model: "m"}}})
+	assert.Equal(t, board.Choose(request(), nil, start).(Refuse).Reason, NoTarget)
+	assert.Assert(t, !board.Usable(keys[0]))
+}
+
+func TestAdapterIsFetchedWhereItIsNotResident(t *testing.T) {
+	board, keys := board("a", "b")
+	wanted := request()
+	wanted.Adapter = "a1"
+	fetch, ok := board.Choose(wanted, nil, start).(Fetch)
+	assert.Assert(t, ok)
+	board.Fetched(fetch.Target.Key(), wanted, true)
+	assert.Equal(t, sentTo(t, board.Choose(wanted, nil, start)), fetch.Target.ID())
+	board.Lacks(fetch.Target.Key(), wanted)
+	_, ok = board.Choose(wanted, nil, start).(Fetch)
+	assert.Assert(t, ok)
+	_ = keys
+}
+
+func TestBusyTargetIsAvoidedForAdapters(t *testing.T) {
+	board, keys := board("a", "b")
+	wanted := request()
+	wanted.Adapter = "a1"
+	models := []directory.Resident{{Model: "m"}}
+	board.SetReport(keys[0], directory.Report{At: start, Models: models, Busy: true, BusyFor: 5 * time.Second})
+	board.SetReport(keys[1], directory.Report{At: start, Models: models, Running: 3, Waiting: 1, Starting: 4})
+	assert.Equal(t, board.Choose(wanted, nil, start).(Fetch).Target.ID(), "b")
+}
+
+func catalogue() *directory.Directory {
+	model := directory.NewModel(directory.ModelSpec{Name: "rare", StoreLoad: 8 * time.Second, DiskLoad: time.Second})
+	return directory.New(directory.Spec{Services: []*directory.Service{
+		directory.NewService(directory.ServiceSpec{Name: "llm", Engine: &directory.EngineSpec{Models: []*directory.Model{model}}}),
+	}})
+}
+
+func TestAbsentModelIsWaitedForOnlyWhenItComesInTime(t *testing.T) {
+	board, keys := board("a")
+	board.SetCatalogue(catalogue())
+	wanted := request()
+	wanted.Model = "rare"
+	refuse := board.Choose(wanted, nil, start).(Refuse)
+	assert.Equal(t, refuse.Reason, NotResident)
+	assert.Assert(t, refuse.After >= 8*time.Second)
+	board.SetReport(keys[0], directory.Report{At: start, Disk: []string{"rare"}})
+	_, held := board.Choose(wanted, nil, start).(Hold)
+	assert.Assert(t, held)
+	wanted.Model = "undeclared"
+	_, refused := board.Choose(wanted, nil, start).(Refuse)
+	assert.Assert(t, refused)
+}
+
+func TestSpeedIsMeasuredWithTheTokensAhead(t *testing.T) {
+	board, keys := board("a")
+	for range 200 {
+		first := board.Sent(keys[0], request(), start)
+		second := board.Sent(keys[0], request(), start)
+		board.Begun(keys[0], first, start.Add(50*time.Millisecond))
+		board.Begun(keys[0], second, start.Add(100*time.Millisecond))
+		board.Ended(keys[0], first, Answered, start)
+		board.Ended(keys[0], second, Answered, start)
+	}
+	rate := board.replicas[keys[0]].rate
+	assert.Assert(t, rate > 19 && rate < 21, "rate %v tokens/ms", rate)
+}
+
+// No request goes to a target that leaves, lacks the model, was tried, or stands
+// still, whatever the history.
+func TestChoiceIsAlwaysUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		board, keys := board("a", "b", "c")
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := rapid.SampledFrom(keys).Draw(t, "key")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				report := directory.Report{At: now, Draining: rapid.Bool().Draw(t, "draining")}
+				if rapid.Bool().Draw(t, "holds") {
+					report.Models = []directory.Resident{{Model: "m"}}
+				}
+				board.SetReport(key, report)
+			case 1:
+				now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			case 2:
+				number := board.Sent(key, request(), now)
+				board.Ended(key, number, rapid.SampledFrom([]Outcome{Answered, Declined, Failed, Withdrawn}).Draw(t, "outcome"), now)
+			case 3:
+				board.Sent(key, request(), now)
+			default:
+				check(t, board, rapid.SampledFrom(keys).Draw(t, "tried"), now)
+			}
+		}
+	})
+}
+
+func check(t *rapid.T, board *Board, tried directory.TargetKey, now time.Time) {
+	wanted := request()
+	wanted.Begin, wanted.Deadline = now.Add(time.Second), now.Add(2*time.Second)
+	send, ok := board.Choose(wanted, []directory.TargetKey{tried}, now).(Send)
+	if !ok {
+		return
+	}
+	replica := board.replicas[send.Target.Key()]
+	if send.Target.Key() == tried || replica.leaving() || !replica.holds("m") || replica.silent(now) {
+		t.Fatalf("sent to %s, which takes nothing", send.Target.ID())
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, count := range []int{44, 1400} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var ids []string
+			for index := range count {
+				ids = append(ids, fmt.Sprintf("t%d", index))
+			}
+			board, _ := board(ids...)
+			wanted := request()
+			b.ReportAllocs()
+			for b.Loop() {
+				board.Choose(wanted, nil, start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/kernel/holding/promise_test.go
@@ -0,0 +1,190 @@
+package holding
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/proof"
+)
+
+func TestMain(m *testing.M) { proof.Main(m) }
+
+const (
+	weights = 200.0 // megabytes
+	places  = 3
+)
+
+func service() *directory.Service {
+	var models []*directory.Model
+	for index, size := range []float64{70, 70, 65, 60, 30} {
+		models = append(models, directory.NewModel(directory.ModelSpec{
+			Name: fmt.Sprintf("m%d", index), Megabytes: size, Adapters: 6, AdapterMegab: 1,
+			StoreLoad: 8 * time.Second, DiskLoad: 2 * time.Second, HostLoad: time.Second,
+		}))
+	}
+	return directory.NewService(directory.ServiceSpec{Name: "llm", Engine: &directory.EngineSpec{
+		WeightsMegab: weights, AdapterPlaces: places, LoadsPerS: 1, Models: models,
+	}})
+}
+
+// engine plays a target that crashes when it is ordered to hold too much.
+type engine struct {
+	t        *rapid.T
+	born     int64
+	sequence uint64
+	models   map[string][]string
+	late     []directory.Order // unanswered, carried out when their sequence still holds
+	busy     bool
+}
+
+func (engine *engine) report(now time.Time) directory.Report {
+	report := directory.Report{At: now, Born: engine.born, Sequence: engine.sequence, Busy: engine.busy, Disk: []string{"m0", "m2"}}
+	for name, adapters := range engine.models {
+		report.Models = append(report.Models, directory.Resident{Model: name, Adapters: slices.Clone(adapters)})
+	}
+	slices.SortFunc(report.Models, func(a, b directory.Resident) int { return len(a.Model) - len(b.Model) })
+	return report
+}
+
+func (engine *engine) carryOut(order directory.Order) directory.OrderOutcome {
+	if order.Sequence != engine.sequence || engine.busy {
+		return directory.OrderBusy
+	}
+	engine.sequence++
+	_, held := engine.models[order.Model]
+	switch {
+	case order.Adapter == "" && order.Load:
+		engine.models[order.Model] = nil
+	case order.Adapter == "":
+		delete(engine.models, order.Model)
+	case !held:
+		return directory.OrderRefused
+	case order.Load:
+		engine.models[order.Model] = append(engine.models[order.Model], order.Adapter)
+	default:
+		engine.models[order.Model] = slices.DeleteFunc(engine.models[order.Model], func(name string) bool { return name == order.Adapter })
+	}
+	engine.check()
+	return directory.OrderAccepted
+}
+
+func (engine *engine) check() {
+	sum, adapters := 0.0, 0
+	for name, held := range engine.models {
+		sum += service().Model(name).Megabytes() + float64(len(held))
+		adapters += len(held)
+	}
+	if sum > weights || adapters > places {
+		engine.t.Fatalf("the target holds %v MB and %d adapters: %v", sum, adapters, engine.models)
+	}
+}
+
+func (engine *engine) answer(keeper *Keeper, order directory.Order, now time.Time) {
+	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "late"}).Draw(engine.t, "answer") {
+	case "ok":
+		keeper.Answered(order, engine.carryOut(order), now)
+	case "lost":
+		engine.carryOut(order)
+		keeper.Answered(order, directory.OrderUnknown, now)
+	default:
+		engine.late = append(engine.late, order)
+		keeper.Answered(order, directory.OrderUnknown, now)
+	}
+}
+
+func TestPromiseTargetIsNeverOverfilled(t *testing.T) {
+	orders := 0
+	rapid.Check(t, func(t *rapid.T) {
+		engine := &engine{t: t, born: 1, models: map[string][]string{"m0": nil, "m1": nil}}
+		keeper, now := New(), time.Unix(100, 0)
+		keeper.SetService(service())
+		model := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m4"})
+		for step := range rapid.IntRange(10, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 100, 900}).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				keeper.Want(uint64(step), "e", model.Draw(t, "model"), fmt.Sprintf("a%d", rapid.IntRange(1, 6).Draw(t, "adapter")), now.Add(time.Second), now)
+			case 1:
+				keeper.Command(Plan{ID: uint64(step), From: "p", Fence: uint64(rapid.IntRange(1, 3).Draw(t, "fence")),
+					Unload: []string{model.Draw(t, "unload")}, Load: model.Draw(t, "load"), Latest: now.Add(3 * time.Second)}, now)
+			case 2:
+				if len(engine.late) > 0 {
+					engine.carryOut(engine.late[0])
+					engine.late = engine.late[1:]
+				}
+			case 3:
+				engine.busy = !engine.busy
+			case 4:
+				if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+					// Late orders name the start that they are meant for.
+					engine.born, engine.sequence, engine.models, engine.late = engine.born+1, 0, map[string][]string{}, nil
+				}
+			default:
+				keeper.Reported(engine.report(now))
+				if order, ok := keeper.Next(now); ok {
+					orders++
+					engine.answer(keeper, order, now)
+				}
+			}
+			keeper.Results()
+		}
+	})
+	assert.Assert(t, orders > 0, "no history gave an order")
+}
+
+func reported(keeper *Keeper, now time.Time, models ...directory.Resident) {
+	keeper.Reported(directory.Report{At: now, Born: 1, Models: models, Disk: []string{"m2"}})
+}
+
+func TestOldPlannerIsRefused(t *testing.T) {
+	keeper, now := New(), time.Unix(100, 0)
+	keeper.SetService(service())
+	reported(keeper, now)
+	assert.Assert(t, keeper.Command(Plan{ID: 1, From: "new", Fence: 5, Load: "m0", Latest: now.Add(time.Second)}, now))
+	assert.Assert(t, !keeper.Command(Plan{ID: 2, From: "old", Fence: 4, Load: "m1", Latest: now.Add(time.Second)}, now))
+	assert.DeepEqual(t, keeper.Results(), []Result{{ID: 2, To: "old", Reason: "a newer planner has spoken"}})
+}
+
+func TestModelsAboutToGoAreNotTold(t *testing.T) {
+	keeper, now := New(), time.Unix(100, 0)
+	keeper.SetService(service())
+	reported(keeper, now, directory.Resident{Model: "m0"}, directory.Resident{Model: "m1"})
+	keeper.Command(Plan{ID: 1, Fence: 1, Unload: []string{"m0"}, Load: "m2", Latest: now.Add(time.Second)}, now)
+	assert.DeepEqual(t, keeper.Models(), []directory.Resident{{Model: "m1"}})
+	_, early := keeper.Next(now)
+	assert.Assert(t, !early, "entries have not heard yet")
+	order, ok := keeper.Next(now.Add(releasePause))
+	assert.Assert(t, ok && !order.Load && order.Model == "m0")
+}
+
+func TestRestartLoadsAgainWhatIsOnHand(t *testing.T) {
+	keeper, now := New(), time.Unix(100, 0)
+	keeper.SetService(service())
+	reported(keeper, now, directory.Resident{Model: "m2"}, directory.Resident{Model: "m1"})
+	keeper.Reported(directory.Report{At: now, Born: 2, Disk: []string{"m2"}})
+	order, ok := keeper.Next(now)
+	assert.Assert(t, ok && order.Load && order.Model == "m2", "%v", order)
+	keeper.Answered(order, directory.OrderAccepted, now)
+	keeper.Reported(directory.Report{At: now, Born: 2, Sequence: 1, Models: []directory.Resident{{Model: "m2"}}})
+	_, ok = keeper.Next(now)
+	assert.Assert(t, !ok, "m1 is not on hand, and the weight store's rate is the planner's")
+}
+
+func TestUsedAdapterIsNotEvicted(t *testing.T) {
+	keeper, now := New(), time.Unix(100, 0)
+	keeper.SetService(service())
+	reported(keeper, now, directory.Resident{Model: "m0", Adapters: []string{"a1", "a2", "a3"}})
+	for _, adapter := range []string{"a1", "a3"} {
+		keeper.Use("m0", adapter, now)
+	}
+	keeper.Want(1, "e", "m0", "a4", now.Add(time.Second), now)
+	order, ok := keeper.Next(now)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, order, directory.Order{Model: "m0", Adapter: "a2"})
+}
--- /dev/null
+++ b/kernel/residency/planner_test.go
@@ -0,0 +1,175 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/proof"
+)
+
+func TestMain(m *testing.M) { proof.Main(m) }
+
+const window = 5 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func service(models int) *directory.Service {
+	engine := &directory.EngineSpec{WeightsMegab: 200, AdapterPlaces: 8, LoadsPerS: 1.5}
+	for index := range models {
+		engine.Models = append(engine.Models, directory.NewModel(directory.ModelSpec{
+			Name: fmt.Sprintf("m%d", index), Megabytes: 70, StoreLoad: 8 * time.Second, DiskLoad: 2 * time.Second,
+		}))
+	}
+	return directory.NewService(directory.ServiceSpec{Name: "llm", Engine: engine})
+}
+
+func holding(id string, models ...string) Target {
+	target := Target{Key: directory.TargetKey{ID: id}, Service: "llm", Report: directory.Report{Disk: []string{"m0", "m1", "m2", "m3", "m4"}}}
+	for _, model := range models {
+		target.Report.Models = append(target.Report.Models, directory.Resident{Model: model})
+	}
+	return target
+}
+
+func TestHotModelGetsMoreTargets(t *testing.T) {
+	planner := New(window)
+	planner.Asked("m0", 50000, start)
+	targets := []Target{holding("a", "m0", "m1"), holding("b", "m1", "m2"), holding("c", "m2", "m3"), holding("d", "m3", "m0")}
+	commands := planner.Plan(service(4), targets, start)
+	assert.Assert(t, len(commands) > 0)
+	for _, command := range commands {
+		assert.Equal(t, command.Load, "m0")
+	}
+}
+
+func TestLostModelComesBackWithoutDemand(t *testing.T) {
+	planner := New(window)
+	commands := planner.Plan(service(2), []Target{holding("a", "m0"), holding("b", "m0")}, start)
+	assert.Assert(t, slices.ContainsFunc(commands, func(command Command) bool { return command.Load == "m1" }), "%v", commands)
+}
+
+func TestCalmFleetIsLeftAlone(t *testing.T) {
+	planner := New(window)
+	for _, model := range []string{"m0", "m1"} {
+		planner.Asked(model, 10000, start)
+	}
+	targets := []Target{holding("a", "m0", "m1"), holding("b", "m0", "m1")}
+	assert.Equal(t, len(planner.Plan(service(2), targets, start)), 0)
+}
+
+func TestBusyAndSilentTargetsGetNoCommand(t *testing.T) {
+	planner := New(window)
+	planner.Asked("m1", 50000, start)
+	busy, silent := holding("a", "m0"), holding("b", "m0")
+	busy.Report.Busy = true
+	silent.Unusable = true
+	assert.Equal(t, len(planner.Plan(service(2), []Target{busy, silent}, start)), 0)
+}
+
+func TestCommandIsNotRepeatedWhileItsEffectIsDue(t *testing.T) {
+	planner := New(window)
+	targets := []Target{holding("a", "m0"), holding("b", "m0")}
+	first := planner.Plan(service(2), targets, start)
+	assert.Assert(t, len(first) > 0)
+	for _, command := range planner.Plan(service(2), targets, start.Add(time.Second)) {
+		for _, earlier := range first {
+			assert.Assert(t, command.Key != earlier.Key)
+		}
+	}
+}
+
+func names(target Target) []string {
+	var names []string
+	for _, resident := range target.Report.Models {
+		names = append(names, resident.Model)
+	}
+	return names
+}
+
+// drawTargets returns targets that hold one or two models each.
+func drawTargets(t *rapid.T, models int) []Target {
+	var targets []Target
+	name := rapid.Map(rapid.IntRange(0, models-1), func(index int) string { return fmt.Sprintf("m%d", index) })
+	for index := range rapid.IntRange(1, 10).Draw(t, "targets") {
+		held := rapid.SliceOfNDistinct(name, 0, 2, rapid.ID[string]).Draw(t, "held")
+		target := holding(fmt.Sprintf("t%d", index), held...)
+		target.Report.Disk = rapid.SliceOfNDistinct(name, 0, 3, rapid.ID[string]).Draw(t, "disk")
+		target.Unusable = rapid.IntRange(0, 9).Draw(t, "unusable") == 0
+		for range rapid.IntRange(0, 2).Draw(t, "recent") {
+			target.Recent = append(target.Recent, time.Duration(rapid.IntRange(0, 9000).Draw(t, "age"))*time.Millisecond)
+		}
+		targets = append(targets, target)
+	}
+	return targets
+}
+
+func TestPromisePlanKeepsEveryModelAndTheStoresRate(t *testing.T) {
+	given := 0
+	rapid.Check(t, func(t *rapid.T) {
+		models := rapid.IntRange(1, 8).Draw(t, "models")
+		targets := drawTargets(t, models)
+		planner := New(window)
+		for index := range models {
+			planner.Asked(fmt.Sprintf("m%d", index), float64(rapid.IntRange(0, 90000).Draw(t, "tokens")), start)
+		}
+		begun := 0
+		copies := map[string]int{}
+		byKey := map[directory.TargetKey]Target{}
+		for _, target := range targets {
+			byKey[target.Key] = target
+			for _, age := range target.Recent {
+				if age <= window {
+					begun++
+				}
+			}
+			for _, name := range names(target) {
+				if !target.Unusable {
+					copies[name]++
+				}
+			}
+		}
+		for _, command := range planner.Plan(service(models), targets, start) {
+			given++
+			target := byKey[command.Key]
+			if target.Unusable || slices.Contains(names(target), command.Load) {
+				t.Fatalf("command %v to %v", command, target)
+			}
+			if !slices.Contains(target.Report.Disk, command.Load) {
+				begun++
+				if float64(begun) > 1.5*window.Seconds() {
+					t.Fatalf("%d loads from the store within %v", begun, window)
+				}
+			}
+			left := len(target.Report.Models) + 1
+			for _, victim := range command.Unload {
+				left--
+				if copies[victim]--; copies[victim] < 1 {
+					t.Fatalf("the last copy of %s is unloaded", victim)
+				}
+			}
+			if left > 2 {
+				t.Fatalf("command %v fills %v beyond its memory", command, target)
+			}
+		}
+	})
+	assert.Assert(t, given > 0, "no history gave a command")
+}
+
+func BenchmarkPlan(b *testing.B) {
+	planner := New(window)
+	declared := service(250)
+	var targets []Target
+	for index := range 1400 {
+		targets = append(targets, holding(fmt.Sprintf("t%d", index), fmt.Sprintf("m%d", index%250), fmt.Sprintf("m%d", (index*7+1)%250)))
+	}
+	for b.Loop() {
+		planner.given = map[directory.TargetKey]given{}
+		planner.Plan(declared, targets, start)
+	}
+}
