Relay the platform's documents between entries, and bound the log

Cause: an entry that starts while the store is away served nobody although its peers knew configuration and targets; log lines were written by the goroutines that serve, so a reader that stopped would have held them up, and served requests left no line.

Ruled out: lists of targets from peers beside one of its own, since an instance cannot tell which is newer.

--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/wire"
 )
 
 const (
@@ -29,6 +31,7 @@
 	list    []byte
 	listAt  time.Time
 	newer   chan struct{} // a peer has a newer configuration
+	failing atomic.Bool   // the last reading of the configuration or of the list failed
 }
 
 func newFollower(gateway *Gateway) *follower {
@@ -63,6 +66,7 @@
 				follower.gateway.log.Warnf("lost the configuration's source: %v", err)
 			}
 			healthy = false
+			follower.failing.Store(true)
 			follower.sleep(ctx, configRetry)
 			continue
 		}
@@ -148,6 +152,7 @@
 	for ctx.Err() == nil {
 		document, err := follower.source.Targets(ctx)
 		if err == nil {
+			follower.failing.Store(false)
 			follower.takeTargets(document, follower.gateway.clock.Now())
 			if !healthy {
 				follower.gateway.log.Infof("regained the list of targets")
@@ -159,6 +164,7 @@
 		follower.mu.Lock()
 		follower.roster.Failed()
 		follower.mu.Unlock()
+		follower.failing.Store(true)
 		if healthy {
 			follower.gateway.log.Warnf("lost the list of targets: %v", err)
 		}
@@ -206,6 +212,28 @@
 	gateway.board.SetTargets(follower.targets)
 }
 
+// helpless says whether the platform does not answer this instance.
+func (follower *follower) helpless() bool { return follower.failing.Load() }
+
+// snapshot returns the documents in force, for peers.
+func (follower *follower) snapshot() *wire.Snapshot {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	return &wire.Snapshot{Config: follower.config, Targets: follower.list}
+}
+
+// adopt takes over a peer's documents. Its list is taken only while this
+// instance has none of its own, since it cannot tell which is newer.
+func (follower *follower) adopt(peer string, snapshot *wire.Snapshot) {
+	if len(snapshot.Config) > 0 {
+		follower.takeConfig(snapshot.Config)
+	}
+	if len(snapshot.Targets) > 0 && !follower.gateway.listed.Load() {
+		follower.gateway.log.Infof("takes the list of targets from peer %s", peer)
+		follower.takeTargets(snapshot.Targets, follower.gateway.clock.Now())
+	}
+}
+
 // addresses returns the addresses of all targets.
 func (follower *follower) addresses() map[string]bool {
 	follower.mu.Lock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -77,6 +77,7 @@
 	follower  *follower
 	peers     *peers
 	planner   *planning
+	relaying  *relaying
 	mu        sync.Mutex // guards what follows
 	board     *dispatch.Board
 	flights   map[uint64]*flight // sends that have not ended
@@ -103,6 +104,7 @@
 	gateway.follower = newFollower(gateway)
 	gateway.peers = newPeers(gateway)
 	gateway.planner = newPlanning(gateway)
+	gateway.relaying = newRelaying(gateway)
 	gateway.server = &fasthttp.Server{
 		Handler:                      gateway.handle,
 		ErrorHandler:                 gateway.handleBroken,
@@ -158,6 +160,7 @@
 	group.Go(func() error { return gateway.follower.run(ctx) })
 	group.Go(func() error { return gateway.peers.run(ctx) })
 	group.Go(func() error { return gateway.planner.run(ctx) })
+	group.Go(func() error { return gateway.relaying.run(ctx) })
 	group.Go(func() error { return gateway.watched.run(ctx, gateway) })
 	group.Go(func() error { return gateway.keepHouse(ctx) })
 	group.Go(func() error {
--- a/kernel/logs/logs.go
+++ b/kernel/logs/logs.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -15,11 +16,13 @@
 type Logger struct {
 	prefix string
 	entry  *log.Entry
+	budget *budget // nil for no bound
 }
 
 // Root writes to one output; parts take their loggers from it.
 type Root struct {
 	logger *log.Logger
+	budget *budget // nil for no bound
 }
 
 // New returns a root that writes lines of at least level ("debug", "info",
@@ -48,20 +51,26 @@
 
 // Part returns the logger of a part; its lines start with "PART: ".
 func (root *Root) Part(part, instance string) *Logger {
-	return &Logger{prefix: part + ": ", entry: root.logger.WithField("instance", instance)}
+	return &Logger{prefix: part + ": ", entry: root.logger.WithField("instance", instance), budget: root.budget}
 }
 
 // Infof writes a line for operators.
 func (logger *Logger) Infof(format string, args ...any) {
-	logger.entry.Infof(logger.prefix+format, args...)
+	if note, ok := logger.budget.take(format, time.Now()); ok {
+		logger.entry.Infof(logger.prefix+format+note, args...)
+	}
 }
 
 // Warnf writes a line on something that an operator should look at.
 func (logger *Logger) Warnf(format string, args ...any) {
-	logger.entry.Warnf(logger.prefix+format, args...)
+	if note, ok := logger.budget.take(format, time.Now()); ok {
+		logger.entry.Warnf(logger.prefix+format+note, args...)
+	}
 }
 
 // Debugf writes a line for developers.
 func (logger *Logger) Debugf(format string, args ...any) {
-	logger.entry.Debugf(logger.prefix+format, args...)
+	if note, ok := logger.budget.take(format, time.Now()); ok {
+		logger.entry.Debugf(logger.prefix+format+note, args...)
+	}
 }
--- /dev/null
+++ b/kernel/wire/snapshot.go
@@ -0,0 +1,34 @@
+package wire
+
+import "google.golang.org/protobuf/encoding/protowire"
+
+// CallSnapshot asks an entry for the documents that it serves by.
+const CallSnapshot = "/peer/snapshot"
+
+// SnapshotRequest asks for what an instance that cannot reach the platform
+// needs.
+type SnapshotRequest struct{}
+
+// Snapshot holds the platform's documents as an entry last read them.
+type Snapshot struct {
+	Config  []byte // empty when the entry knows none
+	Targets []byte // empty when the entry knows none
+}
+
+func (snapshotRequest *SnapshotRequest) appendTo(*writer) {}
+
+func (snapshotRequest *SnapshotRequest) field(protowire.Number, value) {}
+
+func (snapshot *Snapshot) appendTo(writer *writer) {
+	writer.bytes(1, snapshot.Config)
+	writer.bytes(2, snapshot.Targets)
+}
+
+func (snapshot *Snapshot) field(number protowire.Number, value value) {
+	switch number {
+	case 1:
+		snapshot.Config = value.copied()
+	case 2:
+		snapshot.Targets = value.copied()
+	}
+}
