Answer what a stopping entry has read before it ends

The process ended at the first moment without a request under way while it still took connections, so a request read in that moment could be cut. This is the likely cause, not a traced one.

--- a/entry/gateway/caller.go
+++ b/entry/gateway/caller.go
@@ -52,19 +52,26 @@
 	}
 }
 
-// busy returns how many requests are being answered.
+// busy returns how many requests are being read or answered.
 func (callers *callers) busy() int {
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
 	count := 0
 	for caller := range callers.open {
-		if caller.busy.Load() {
+		if caller.busy.Load() || caller.begun.Load() {
 			count++
 		}
 	}
 	return count
 }
 
+// refuse takes no further connections or requests; what has been read is still
+// answered.
+func (callers *callers) refuse() {
+	_ = callers.Listener.Close() // that it is closed already is as well
+	callers.shut(time.Now())
+}
+
 // caller is a caller's connection.
 type caller struct {
 	net.Conn
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -232,31 +232,38 @@
 	}
 }
 
-// Stop takes no new connections and returns when all requests have ended or ctx
-// ends.
+// Stop returns when all requests have ended, or ctx or the time for a stop ends.
+// Requests are taken until the last moment, since the platform sends them while
+// it knows no better instance; streams only as long as they may well end before
+// it.
 func (gateway *Gateway) Stop(ctx context.Context) error {
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.busy())
 	gateway.peers.leave()
 	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - stopReserve)
-	notice := gateway.clock.Now().Add(stopNotice)
-	for gateway.clock.Now().Before(end) {
-		if gateway.clock.Now().After(notice) {
-			gateway.late.Store(true)
-			gateway.callers.shut(gateway.clock.Now().Add(-newcomerTime))
-			if gateway.callers.busy() == 0 {
-				break
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-gateway.clock.After(stopPoll):
+	gateway.pause(ctx, stopNotice)
+	gateway.late.Store(true)
+	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
+		gateway.callers.shut(gateway.clock.Now().Add(-newcomerTime))
+		if gateway.callers.busy() == 0 {
+			break
 		}
+		gateway.pause(ctx, stopPoll)
+	}
+	gateway.callers.refuse()
+	for gateway.callers.busy() > 0 && gateway.clock.Now().Before(end) && ctx.Err() == nil {
+		gateway.pause(ctx, stopPoll)
 	}
 	gateway.log.Infof("stopped, %d requests were open", gateway.callers.busy())
-	return nil
+	return ctx.Err()
+}
+
+func (gateway *Gateway) pause(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-gateway.clock.After(pause):
+	}
 }
 
 // draw returns a random number from 0 to below 1.
