--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -208,8 +208,10 @@
 	gateway.log.Infof("target on %s is now %s, born %d", host, id, born)
 	follower.targets = follower.roster.Targets()
 	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
 	gateway.board.SetTargets(follower.targets)
+	gateway.mu.Unlock()
+	// The start before has ended, though its connections may not show it.
+	gateway.withdraw(func(target *directory.Target) bool { return target.Host() == host && target.Born() < born })
 }
 
 // helpless says whether the platform does not answer this instance.
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -102,11 +102,17 @@
 
 // abandon gives up the requests at targets that stand still.
 func (gateway *Gateway) abandon() {
+	now := gateway.clock.Now()
+	gateway.withdraw(func(target *directory.Target) bool { return gateway.board.StandsStill(target.Key(), now) })
+}
+
+// withdraw gives up the requests at some targets. They fail at once, or go on
+// elsewhere where they may.
+func (gateway *Gateway) withdraw(lost func(target *directory.Target) bool) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	now := gateway.clock.Now()
 	for _, flight := range gateway.flights {
-		if gateway.board.StandsStill(flight.target.Key(), now) {
+		if lost(flight.target) {
 			flight.cancel()
 		}
 	}
