Refuse what still waits when an entry is about to end; weigh loads by their time

A load must now win back a part of the squared mean work for each second that it takes, since the store's loads take 1.2 s at one site and 8.6 s at the other.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -72,7 +72,8 @@
 	current   atomic.Pointer[directory.Directory]
 	listed    atomic.Bool // a list of targets has been seen
 	stopping  atomic.Bool
-	late      atomic.Bool // so late in a stop that requests might not end before it
+	late      context.Context // ends when a stop is so near that requests might not end before it
+	beLate    context.CancelFunc
 	watched   *watched
 	changed   *signal
 	follower  *follower
@@ -101,6 +102,7 @@
 		allowance: allowance.New(options.RateWindow, tellPeriod),
 		retries:   retry.NewBudgetOf(retriesAtStart),
 	}
+	gateway.late, gateway.beLate = context.WithCancel(context.Background())
 	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
 	gateway.follower = newFollower(gateway)
 	gateway.peers = newPeers(gateway)
@@ -243,7 +245,7 @@
 	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - stopReserve)
 	gateway.pause(ctx, stopNotice)
-	gateway.late.Store(true)
+	gateway.beLate()
 	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
 		gateway.callers.shut(gateway.clock.Now().Add(-newcomerTime))
 		if gateway.callers.busy() == 0 {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -407,6 +407,7 @@
 	patience := time.Duration(float64(visit.wanted.Begin.Sub(now)) * adapterPart)
 	ctx, cancel := context.WithTimeout(visit.ctx, patience)
 	defer cancel()
+	defer context.AfterFunc(gateway.late, cancel)()
 	done, reason := gateway.peers.command(ctx, address, adapterRepeat, &wire.Command{
 		Target: target.ID(), Load: visit.wanted.Model, Adapter: visit.wanted.Adapter, Latest: patience,
 	})
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -122,8 +122,8 @@
 		}
 		return code.New(code.KeyUnknown, code.RanNo, "the key is not granted")
 	}
-	if visit.gateway.late.Load() && route.Kind() == directory.Stream {
-		return code.New(code.Stopping, code.RanNo, "the instance is stopping").WithRetryAfter(retryAfterStop)
+	if visit.gateway.late.Err() != nil && route.Kind() == directory.Stream {
+		return stoppingFault()
 	}
 	visit.service = route.Pick(draw())
 	visit.deadline = visit.arrived.Add(route.Timeout())
@@ -253,14 +253,23 @@
 			select {
 			case <-changed:
 			case <-visit.ctx.Done():
+			case <-gateway.late.Done():
 			}
 		}
+		if gateway.late.Err() != nil {
+			return nil, stoppingFault()
+		}
 		if fault := visit.over(code.RanNo); fault != nil {
 			return nil, fault
 		}
 	}
 }
 
+// stoppingFault refuses a request that might not end before the instance does.
+func stoppingFault() *code.Fault {
+	return code.New(code.Stopping, code.RanNo, "the instance is stopping").WithRetryAfter(retryAfterStop)
+}
+
 func refusal(refuse dispatch.Refuse) *code.Fault {
 	switch refuse.Reason {
 	case dispatch.Saturated:
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,8 +19,7 @@
 	forecastLife  = 1500 * time.Millisecond // time constant of the demand; demand moves within a few seconds
 	floorDemand   = 400.0                   // tokens a second asked of a model that nobody asks for, so that each stays resident
 	absentPenalty = 40.0                    // factor on the square of work that no target can take
-	storeBurden   = 1.0                     // part of the mean work that a load from the store must win back
-	diskBurden    = 0.12                    // the same, of a load from the target's own disk
+	burdenPerS    = 0.15                    // part of the squared mean work that each second of a load must win back
 	commandLife   = 4 * time.Second         // a command that shows no effect by then is taken as lost
 	concurrency   = 0.85                    // part of rate x duration of loads that the store serves at full speed
 	victimShare   = 0.15                    // part of the mean work up to which a model may go; an unload waits for the model's requests
@@ -320,26 +320,26 @@
 		}
 		candidate.victims = victims
 	}
-	burden := diskBurden
-	if candidate.store {
-		burden = storeBurden
-	}
+	burden := burdenPerS * loadTime(holder.target, model).Seconds()
 	candidate.gain = draft.gain(candidate) - burden*draft.mean*draft.mean
 	return candidate, true
 }
 
-func onHand(target *Target, model string) bool {
-	for _, name := range target.Report.Host {
-		if name == model {
-			return true
-		}
+// loadTime returns how long a target takes to load a model.
+func loadTime(target *Target, model *directory.Model) time.Duration {
+	switch {
+	case slices.Contains(target.Report.Host, model.Name()):
+		return model.HostLoad()
+	case slices.Contains(target.Report.Disk, model.Name()):
+		return model.DiskLoad()
+	default:
+		return model.StoreLoad()
 	}
-	for _, name := range target.Report.Disk {
-		if name == model {
-			return true
-		}
-	}
-	return false
+}
+
+// onHand says whether a target has a copy of a model's weights.
+func onHand(target *Target, model string) bool {
+	return slices.Contains(target.Report.Host, model) || slices.Contains(target.Report.Disk, model)
 }
 
 // victims returns the models of a target that matter least and free so many
