Take no short requests in the last second of a stop

TestStopTakesShortRequestsUntilItIsNear failed without the change ('1 requests are cut by the end of the process').

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,7 +31,8 @@
 	retryAfterTimeout = 500 * time.Millisecond
 	retryAfterStop    = 50 * time.Millisecond   // another instance takes the request
 	stopNotice        = 2600 * time.Millisecond // the platform sends new connections for two of its questions, one a second, after a process stops being ready
-	stopReserve       = 700 * time.Millisecond
+	stopReserve       = 400 * time.Millisecond  // for the end of the process
+	shortRequest      = time.Second             // requests that are no streams end within this, by the deployments' sheets
 	stopPoll          = 50 * time.Millisecond
 	retriesAtStart    = 2.0                    // two dozen entries that start together stay within the slack of 88 that the platform gives their size
 	newcomerTime      = 300 * time.Millisecond // a connection without a request is kept for that long while stopping
@@ -74,6 +75,7 @@
 	stopping  atomic.Bool
 	late      context.Context // ends when a stop is so near that requests might not end before it
 	beLate    context.CancelFunc
+	ending    atomic.Bool // no further requests of any kind are taken
 	watched   *watched
 	changed   *signal
 	follower  *follower
@@ -244,15 +246,17 @@
 	gateway.peers.leave()
 	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - stopReserve)
+	lastCall := end.Add(-shortRequest)
 	gateway.pause(ctx, stopNotice)
 	gateway.beLate()
-	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
+	for gateway.clock.Now().Before(lastCall) && ctx.Err() == nil {
 		gateway.callers.shut(gateway.clock.Now().Add(-newcomerTime))
 		if gateway.callers.busy() == 0 {
 			break
 		}
 		gateway.pause(ctx, stopPoll)
 	}
+	gateway.ending.Store(true)
 	gateway.callers.refuse()
 	for gateway.callers.busy() > 0 && gateway.clock.Now().Before(end) && ctx.Err() == nil {
 		gateway.pause(ctx, stopPoll)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -122,7 +122,7 @@
 		}
 		return code.New(code.KeyUnknown, code.RanNo, "the key is not granted")
 	}
-	if visit.gateway.late.Err() != nil && route.Kind() == directory.Stream {
+	if visit.gateway.ending.Load() || visit.gateway.late.Err() != nil && route.Kind() == directory.Stream {
 		return stoppingFault()
 	}
 	visit.service = route.Pick(draw())
