--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -29,7 +29,6 @@
 	targets []*directory.Target
 	config  []byte // documents as they came, for peers
 	list    []byte
-	listAt  time.Time
 	newer   chan struct{} // a peer has a newer configuration
 	failing atomic.Bool   // the last reading of the configuration or of the list failed
 }
@@ -186,7 +185,7 @@
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	follower.targets = follower.roster.Update(listed, at)
-	follower.list, follower.listAt = document, at
+	follower.list = document
 	gateway.mu.Lock()
 	gateway.board.SetTargets(follower.targets)
 	gateway.mu.Unlock()
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -87,6 +87,9 @@
 	if fault != nil {
 		return nil, fault
 	}
+	if fault := withinLimits(&ctx.Request, current.Limits()); fault != nil {
+		return nil, fault
+	}
 	visit := &visit{gateway: gateway, request: &ctx.Request, inquiry: inquiry, arrived: gateway.clock.Now(), version: current.Version()}
 	if fault := visit.admit(current, string(ctx.Host()), string(ctx.URI().PathOriginal())); fault != nil {
 		return visit.detached(), fault
@@ -102,6 +105,17 @@
 	return visit, nil
 }
 
+// withinLimits refuses what is larger than the configuration allows.
+func withinLimits(request *fasthttp.Request, limits directory.Limits) *code.Fault {
+	if limit := limits.HeaderBytes; limit > 0 && len(request.Header.RawHeaders()) > limit {
+		return code.New(code.HeadTooLarge, code.RanNo, "the head is over %d bytes", limit)
+	}
+	if limit := limits.BodyBytes; limit > 0 && len(request.Body()) > limit {
+		return code.New(code.BodyTooLarge, code.RanNo, "the body is over %d bytes", limit)
+	}
+	return nil
+}
+
 // detached gives a visit that ends before it begins a context.
 func (visit *visit) detached() *visit {
 	visit.ctx, visit.cancel = context.WithCancelCause(context.Background())
@@ -135,7 +149,7 @@
 		urgency = visit.customer.Urgency(urgency)
 	}
 	visit.wanted = dispatch.Request{
-		Service: visit.service, Urgency: urgency, Arrived: visit.arrived, Objective: route.Objective(), Deadline: visit.deadline,
+		Service: visit.service, Urgency: urgency, Arrived: visit.arrived, Deadline: visit.deadline,
 		Begin: visit.deadline,
 	}
 	if patience := route.Patience(); patience > 0 && patience < visit.deadline.Sub(visit.arrived) {
--- a/kernel/code/code.go
+++ b/kernel/code/code.go
@@ -20,6 +20,7 @@
 	InvalidID       Code = 1107
 	IDReused        Code = 1108
 	UnknownRequest  Code = 1110
+	HeadTooLarge    Code = 1111
 	KeyMissing      Code = 1201
 	KeyUnknown      Code = 1202
 	NotAllowed      Code = 1203
@@ -76,6 +77,7 @@
 	HeaderConflict:  {HeaderConflict, "header-conflict", 400, "A header that must be single is given twice or contradicts another."},
 	InvalidID:       {InvalidID, "invalid-id", 400, "The request ID is empty, too long or holds forbidden characters."},
 	IDReused:        {IDReused, "id-reused", 422, "The request ID was used before with another method, path or body."},
+	HeadTooLarge:    {HeadTooLarge, "head-too-large", 431, "The request's head is larger than the configuration allows."},
 	UnknownRequest:  {UnknownRequest, "unknown-request", 404, "No request of that ID is on record for the customer."},
 	KeyMissing:      {KeyMissing, "key-missing", 401, "The route needs a key and none came with the request."},
 	KeyUnknown:      {KeyUnknown, "key-unknown", 401, "The key is not granted or has been withdrawn."},
--- a/kernel/directory/service.go
+++ b/kernel/directory/service.go
@@ -42,8 +42,6 @@
 
 // EngineSpec describes the model engines of a service.
 type EngineSpec struct {
-	Slots         int
-	MemoryTokens  int     // KV cache of a replica
 	WeightsMegab  float64 // memory for weights and adapters
 	AdapterPlaces int
 	LoadsPerS     float64 // of the weight store, over all replicas
@@ -52,10 +50,8 @@
 
 // ServiceSpec is what a service is built from.
 type ServiceSpec struct {
-	Name        string
-	HealthPath  string
-	Connections int // that a replica accepts from all callers together
-	Engine      *EngineSpec
+	Name   string
+	Engine *EngineSpec
 }
 
 // Service is a group of replicas that answer the same requests.
@@ -79,9 +75,6 @@
 // Name returns the service's name.
 func (service *Service) Name() string { return service.spec.Name }
 
-// Connections returns how many connections a replica accepts in all.
-func (service *Service) Connections() int { return service.spec.Connections }
-
 // Engine returns the description of the engines, nil for a plain service.
 func (service *Service) Engine() *EngineSpec { return service.spec.Engine }
 
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -242,7 +242,7 @@
 	}
 	unread := replica.unread(request)
 	replica.flights[board.next] = &flight{
-		sent: now, tokens: unread, queued: unread + replica.ahead(request.Urgency, now), memory: request.memory(),
+		sent: now, tokens: unread, queued: unread + replica.ahead(request.Urgency, now),
 		urgency: request.Urgency, started: request.Model == "",
 	}
 	replica.keep(request, now)
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -29,7 +29,6 @@
 	sent    time.Time
 	tokens  int // of its own to read before its first event
 	queued  int // tokens to read before its first event, with those ahead of it
-	memory  int
 	urgency int
 	started bool
 }
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -17,18 +17,16 @@
 
 // Request is what a decision needs to know of a request.
 type Request struct {
-	Service   string
-	Model     string // empty for plain services
-	Adapter   string // empty without an adapter
-	Prompt    int    // tokens to read
-	Output    int    // tokens to generate at most
-	Parts     []Part
-	Urgency   int // 0 is the most urgent
-	Arrived   time.Time
-	Objective time.Duration // to the first event, from Arrived
-	Begin     time.Time     // latest first event, after which the caller leaves
-	Deadline  time.Time     // latest end
-	Returned  bool          // the caller was refused before
+	Service  string
+	Model    string // empty for plain services
+	Adapter  string // empty without an adapter
+	Prompt   int    // tokens to read
+	Output   int    // tokens to generate at most
+	Parts    []Part
+	Urgency  int // 0 is the most urgent
+	Arrived  time.Time
+	Begin    time.Time // latest first event, after which the caller leaves
+	Deadline time.Time // latest end
 }
 
 // memory returns the KV cache that the request takes in the end.
