Send the demand to the planner alone, and read the list of targets twice within the drain bound

Cause: on the grown sites store calls and bytes between data centres cost most: 24 entries read the list every 0.8 s and told each other the demand for 75 models.

--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	configWait   = 3 * time.Second        // of one watch; a connection that went silent shows by then
-	configRetry  = 150 * time.Millisecond // after a call that failed
-	targetPeriod = 800 * time.Millisecond // between readings of the list; well under the time to notice a leaving target
-	targetRetry  = 300 * time.Millisecond
+	configWait  = 3 * time.Second        // of one watch; a connection that went silent shows by then
+	configRetry = 150 * time.Millisecond // after a call that failed
+	targetPart  = 2                      // readings of the list within the time to notice a leaving target
+	targetRetry = 300 * time.Millisecond
 )
 
 // follower keeps the configuration and the list of targets up to date.
@@ -157,7 +157,7 @@
 				follower.gateway.log.Infof("regained the list of targets")
 			}
 			healthy = true
-			follower.sleep(ctx, targetPeriod)
+			follower.sleep(ctx, follower.gateway.options.DrainBound/targetPart)
 			continue
 		}
 		follower.mu.Lock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -57,6 +57,7 @@
 	Store       object.Store  // of the lease on planning
 	LeaseKey    string        // of the lease on planning
 	RateWindow  time.Duration // over which customers' spending is counted
+	DrainBound  time.Duration // within which a leaving target gets no new work
 	LoadWindow  time.Duration // over which loads from the weight store are counted
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -140,12 +140,19 @@
 		return
 	}
 	state.Wanted = listTotals(peers.wanted)
+	short := *state
+	short.Wanted = nil
+	planned := peers.planned(now)
 	for address, at := range peers.entries {
 		if now.Sub(at) > peerLife {
 			delete(peers.entries, address)
 			delete(peers.totals, address)
 			continue
 		}
+		if planned && peers.totals[address].planFence == 0 {
+			peers.send(address, &short) // only the planner needs the demand
+			continue
+		}
 		peers.send(address, state)
 	}
 	peers.greetAgents(state)
@@ -222,15 +229,16 @@
 	peers.entries[from] = now
 	wanted := totalsOf(state.Wanted)
 	before, known := peers.totals[from]
+	same := known && before.incarnation == state.Incarnation
 	for model, total := range wanted {
-		delta := total
-		if known && before.incarnation == state.Incarnation {
-			delta -= before.wanted[model]
-		}
-		if known && delta > 0 {
+		// What was asked before the first message with figures is long past.
+		if delta := total - before.wanted[model]; same && len(before.wanted) > 0 && delta > 0 {
 			gateway.planner.asked(model, delta, now)
 		}
 	}
+	if len(wanted) == 0 && same {
+		wanted = before.wanted
+	}
 	peers.totals[from] = peerTotals{incarnation: state.Incarnation, wanted: wanted, planFence: state.PlanFence, at: now}
 }
 
@@ -250,6 +258,16 @@
 	return values
 }
 
+// planned says whether another entry plans; the caller holds the lock.
+func (peers *peers) planned(now time.Time) bool {
+	for _, totals := range peers.totals {
+		if totals.planFence != 0 && now.Sub(totals.at) < plannerLife {
+			return true
+		}
+	}
+	return false
+}
+
 // otherPlanner returns the fence of another entry that plans and was heard
 // within life.
 func (peers *peers) otherPlanner(life time.Duration, now time.Time) uint64 {
