--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -99,6 +99,16 @@
 	assert.Assert(t, board.StandsStill(keys[0], now.Add(standstill)))
 }
 
+// Callers leave 2 s after the last event at the earliest, and some have waited
+// for 0.4 s when their target begins to stand still.
+func TestStandstillIsFoundBeforeCallersLeave(t *testing.T) {
+	board, keys := board("a")
+	board.SetReport(keys[0], directory.Report{At: start, Models: []directory.Resident{{Model: "m"}}})
+	board.Sent(keys[0], request(), start)
+	assert.Assert(t, !board.StandsStill(keys[0], start.Add(time.Second)))
+	assert.Assert(t, board.StandsStill(keys[0], start.Add(1600*time.Millisecond)))
+}
+
 func TestFailingTargetRestsButIsNeverTheLastOneLost(t *testing.T) {
 	board, keys := board("a", "b")
 	for range failuresToRest {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -19,9 +19,9 @@
 	backoffFirst   = 250 * time.Millisecond
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
-	silence        = 400 * time.Millisecond // four periods of an agent's reports
-	standstill     = 2 * time.Second        // a target silent for that long is given up; callers of streams leave after 2 s or more
-	leastBusy      = 100 * time.Millisecond // assumed of an order that takes longer than it should
+	silence        = 400 * time.Millisecond  // four periods of an agent's reports
+	standstill     = 1500 * time.Millisecond // a target silent for that long is given up; callers of streams leave after 2 s or more
+	leastBusy      = 100 * time.Millisecond  // assumed of an order that takes longer than it should
 )
 
 // flight is a request that this instance sent to a target.
