Give up a request at a silent target just before its caller leaves

TestRequestAtASilentTargetIsGivenUpBeforeItsCallerLeaves asks for what the code before could not do at any standstill over 0.6 s.

Ruled out: a shorter standstill for all; an agent that is killed is away for about a second while its target serves on.

--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -210,7 +210,7 @@
 	gateway.board.SetTargets(follower.targets)
 	gateway.mu.Unlock()
 	// The start before has ended, though its connections may not show it.
-	gateway.withdraw(func(target *directory.Target) bool { return target.Host() == host && target.Born() < born })
+	gateway.withdraw(func(flight *flight) bool { return flight.target.Host() == host && flight.target.Born() < born })
 }
 
 // helpless says whether the platform does not answer this instance.
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -103,16 +103,16 @@
 // abandon gives up the requests at targets that stand still.
 func (gateway *Gateway) abandon() {
 	now := gateway.clock.Now()
-	gateway.withdraw(func(target *directory.Target) bool { return gateway.board.StandsStill(target.Key(), now) })
+	gateway.withdraw(func(flight *flight) bool { return gateway.board.StandsStill(flight.target.Key(), flight.number, now) })
 }
 
-// withdraw gives up the requests at some targets. They fail at once, or go on
+// withdraw gives up some sends. They fail at once, or go on
 // elsewhere where they may.
-func (gateway *Gateway) withdraw(lost func(target *directory.Target) bool) {
+func (gateway *Gateway) withdraw(lost func(flight *flight) bool) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	for _, flight := range gateway.flights {
-		if lost(flight.target) {
+		if lost(flight) {
 			flight.cancel()
 		}
 	}
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -243,7 +243,7 @@
 	unread := replica.unread(request)
 	replica.flights[board.next] = &flight{
 		sent: now, tokens: unread, queued: unread + replica.ahead(request.Urgency, now),
-		urgency: request.Urgency, started: request.Model == "",
+		urgency: request.Urgency, started: request.Model == "", begin: request.Begin,
 	}
 	replica.keep(request, now)
 	return board.next
@@ -305,10 +305,16 @@
 }
 
 // StandsStill says whether a target has been silent for so long that its
-// requests are given up.
-func (board *Board) StandsStill(key directory.TargetKey, now time.Time) bool {
+// requests are given up. A request without an event is given up sooner where
+// its caller is about to leave: it cannot begin in time any more.
+func (board *Board) StandsStill(key directory.TargetKey, number uint64, now time.Time) bool {
 	replica := board.replicas[key]
-	return replica != nil && replica.silentFor(standstill, now)
+	if replica == nil || !replica.silent(now) {
+		return false
+	}
+	flight := replica.flights[number]
+	leaving := flight != nil && !flight.started && flight.begin.Sub(now) < lastMoment
+	return leaving || replica.silentFor(standstill, now)
 }
 
 // Sign records that a target has sent something.
--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -95,8 +95,8 @@
 	assert.Equal(t, sentTo(t, board.Choose(request(), nil, now)), "b", "the empty-looking target has not answered for a second")
 	board.Sign(keys[0], now)
 	assert.Equal(t, sentTo(t, board.Choose(request(), nil, now)), "a")
-	assert.Assert(t, !board.StandsStill(keys[0], now))
-	assert.Assert(t, board.StandsStill(keys[0], now.Add(standstill)))
+	assert.Assert(t, !board.StandsStill(keys[0], 0, now))
+	assert.Assert(t, board.StandsStill(keys[0], 0, now.Add(standstill)))
 }
 
 // Callers leave 2 s after the last event at the earliest, and some have waited
@@ -105,8 +105,21 @@
 	board, keys := board("a")
 	board.SetReport(keys[0], directory.Report{At: start, Models: []directory.Resident{{Model: "m"}}})
 	board.Sent(keys[0], request(), start)
-	assert.Assert(t, !board.StandsStill(keys[0], start.Add(time.Second)))
-	assert.Assert(t, board.StandsStill(keys[0], start.Add(1600*time.Millisecond)))
+	assert.Assert(t, !board.StandsStill(keys[0], 0, start.Add(time.Second)))
+	assert.Assert(t, board.StandsStill(keys[0], 0, start.Add(1600*time.Millisecond)))
+}
+
+// A request may have waited for a second when its target begins to stand still.
+func TestRequestAtASilentTargetIsGivenUpBeforeItsCallerLeaves(t *testing.T) {
+	board, keys := board("a")
+	late := board.Sent(keys[0], request(), start)
+	frozen := start.Add(1100 * time.Millisecond)
+	board.SetReport(keys[0], directory.Report{At: frozen, Models: []directory.Resident{{Model: "m"}}})
+	board.Sign(keys[0], frozen)
+	assert.Assert(t, !board.StandsStill(keys[0], late, frozen.Add(100*time.Millisecond)), "nothing is wrong yet")
+	assert.Assert(t, board.StandsStill(keys[0], late, start.Add(1700*time.Millisecond)), "its caller leaves at 2 s")
+	board.Begun(keys[0], late, frozen)
+	assert.Assert(t, !board.StandsStill(keys[0], late, start.Add(1700*time.Millisecond)), "a stream has its patience from its last event")
 }
 
 func TestFailingTargetRestsButIsNeverTheLastOneLost(t *testing.T) {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -21,6 +21,7 @@
 	failuresToRest = 3
 	silence        = 400 * time.Millisecond  // four periods of an agent's reports
 	standstill     = 1500 * time.Millisecond // a target silent for that long is given up; callers of streams leave after 2 s or more
+	lastMoment     = 400 * time.Millisecond  // a silent target does not begin a request within that; a prompt alone takes a quarter of it
 	leastBusy      = 100 * time.Millisecond  // assumed of an order that takes longer than it should
 )
 
@@ -31,6 +32,7 @@
 	queued  int // tokens to read before its first event, with those ahead of it
 	urgency int
 	started bool
+	begin   time.Time // latest first event
 }
 
 // replica is what is known of one target.
