--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -1,27 +1,14 @@
 package dispatch
 
 import (
-	"hash/fnv"
-	"slices"
 	"time"
 
 	"endiverill.example/kernel/directory"
 )
 
 const (
-	queuedPause    = 40 * time.Millisecond  // time until a place falls free at a full target
-	fetchPenalty   = 15 * time.Millisecond  // an adapter's load, from the sheets of the deployments
-	fetchLife      = 500 * time.Millisecond // an adapter asked for and not reported by then is not coming
-	remotePenalty  = 8 * time.Millisecond   // keeps requests in their data centre while loads are alike
-	restPenalty    = 3 * time.Second        // puts a failing target behind all others
-	affinityGain   = 20 * time.Millisecond  // pulls an adapter's requests together on one target
-	cacheLife      = 20 * time.Second       // parts not sent again within this are taken as evicted
+	cacheLife      = 20 * time.Second // parts not sent again within this are taken as evicted
 	maxCachedParts = 4096
-	deadlineMargin = 0.9                    // part of the time left that a wait may take
-	shortestAfter  = 100 * time.Millisecond // of the advice to come back
-	defaultAfter   = time.Second
-	longAfter      = 30 * time.Second       // for a model that is not declared, which no wait will bring
-	planTime       = 700 * time.Millisecond // until the planner has seen the demand and its command is carried out
 )
 
 // Board holds what an instance knows of all targets.
@@ -29,6 +16,8 @@
 	dataCentre string
 	replicas   map[directory.TargetKey]*replica
 	services   map[string][]*replica
+	holders    holders
+	homes      map[adapterOf]*replica // targets that adapters are drawn to; found anew when holders change
 	next       uint64
 	loading    map[string]time.Time // model to when a load under way ends
 	catalogue  *directory.Directory
@@ -40,6 +29,8 @@
 		dataCentre: dataCentre,
 		replicas:   map[directory.TargetKey]*replica{},
 		services:   map[string][]*replica{},
+		holders:    holders{},
+		homes:      map[adapterOf]*replica{},
 		loading:    map[string]time.Time{},
 	}
 }
@@ -48,7 +39,8 @@
 // take no new work; those listed again keep what is known of them.
 func (board *Board) SetTargets(targets []*directory.Target) {
 	listed := map[directory.TargetKey]bool{}
-	board.services = map[string][]*replica{}
+	board.services, board.holders = map[string][]*replica{}, holders{}
+	clear(board.homes)
 	for _, target := range targets {
 		key := target.Key()
 		listed[key] = true
@@ -62,6 +54,7 @@
 			known.setModels(target.Models())
 		}
 		board.services[target.Service()] = append(board.services[target.Service()], known)
+		board.holders.addAll(known)
 	}
 	for key, replica := range board.replicas {
 		if listed[key] {
@@ -82,7 +75,7 @@
 		return
 	}
 	replica.report, replica.reported = report, true
-	replica.setModels(report.Models)
+	board.setModels(replica, report.Models)
 	for name := range replica.fetching {
 		if model, adapter := SplitModel(name); replica.holdsAdapter(model, adapter) {
 			delete(replica.fetching, name)
@@ -90,6 +83,41 @@
 	}
 }
 
+// setModels replaces what a replica holds.
+func (board *Board) setModels(replica *replica, residents []directory.Resident) {
+	before := replica.models
+	replica.setModels(residents)
+	if replica.gone {
+		return // not indexed
+	}
+	for model := range before {
+		if !replica.holds(model) {
+			board.drop(replica, model)
+		}
+	}
+	for model := range replica.models {
+		if _, held := before[model]; !held {
+			board.holders.add(replica, model)
+			clear(board.homes)
+		}
+	}
+}
+
+// drop takes a replica off the holders of a model.
+func (board *Board) drop(replica *replica, model string) {
+	board.holders.remove(replica, model)
+	clear(board.homes)
+}
+
+// candidates returns the targets of a service that hold a model, and all of
+// them where no model is asked for.
+func (board *Board) candidates(service, model string) []*replica {
+	if model == "" {
+		return board.services[service]
+	}
+	return board.holders[holding{service, model}]
+}
+
 // SetCatalogue tells which models there are.
 func (board *Board) SetCatalogue(catalogue *directory.Directory) { board.catalogue = catalogue }
 
@@ -111,127 +139,6 @@
 	return replica != nil && !replica.leaving()
 }
 
-// Choose decides on a request; tried lists targets that it must not go to.
-func (board *Board) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
-	takers, holders := 0, 0
-	var best *replica
-	var bestCost, bestWait time.Duration
-	bestFetch, roomy := false, false
-	for _, replica := range board.services[request.Service] {
-		if replica.leaving() || slices.Contains(tried, replica.target.Key()) {
-			continue
-		}
-		takers++
-		if !replica.holds(request.Model) || replica.silent(now) {
-			continue
-		}
-		holders++
-		if total := replica.report.TotalKV; total > 0 && request.memory() > total {
-			continue
-		}
-		roomy = true
-		cost, wait, fetch := board.cost(replica, request, now)
-		if best == nil || cost < bestCost {
-			best, bestCost, bestWait, bestFetch = replica, cost, wait, fetch
-		}
-	}
-	switch {
-	case takers == 0:
-		return Refuse{Reason: NoTarget, After: defaultAfter}
-	case holders == 0:
-		return board.absent(request, now)
-	case !roomy:
-		return Refuse{Reason: TooLarge, After: defaultAfter}
-	}
-	return admit(request, best, bestWait, bestFetch, now)
-}
-
-// cost returns what speaks against a target, the wait until the first event,
-// and whether the adapter has to be loaded first.
-func (board *Board) cost(replica *replica, request *Request, now time.Time) (cost, wait time.Duration, fetch bool) {
-	wait = replica.wait(request, now)
-	if !replica.holdsAdapter(request.Model, request.Adapter) {
-		fetch = true
-		wait += replica.fetchWait(now)
-		if board.home(replica, request) {
-			wait -= min(affinityGain, wait)
-		}
-	}
-	cost = wait
-	if replica.target.DataCentre() != board.dataCentre {
-		cost += remotePenalty
-	}
-	if now.Before(replica.rest) {
-		cost += restPenalty
-	}
-	return cost, wait, fetch
-}
-
-// home says whether the target is the one that an adapter is drawn to, by
-// highest random weight among those that hold its model.
-func (board *Board) home(candidate *replica, request *Request) bool {
-	mine := weight(candidate.target.ID(), request.Model, request.Adapter)
-	for _, replica := range board.services[request.Service] {
-		if replica != candidate && !replica.leaving() && replica.holds(request.Model) &&
-			weight(replica.target.ID(), request.Model, request.Adapter) > mine {
-			return false
-		}
-	}
-	return true
-}
-
-func weight(parts ...string) uint64 {
-	hash := fnv.New64a()
-	for _, part := range parts {
-		_, _ = hash.Write([]byte(part)) // a hash never fails to write
-	}
-	return hash.Sum64()
-}
-
-// absent decides on a request whose model no target holds. The planner has it
-// loaded, so the request waits where the load ends before its deadline.
-func (board *Board) absent(request *Request, now time.Time) Decision {
-	done, loading := board.loading[request.Model]
-	if !loading || now.After(done) {
-		done = now.Add(board.loadTime(request))
-	}
-	left := request.Begin.Sub(now)
-	if wait := done.Sub(now); wait > time.Duration(float64(left)*deadlineMargin) {
-		return Refuse{Reason: NotResident, After: wait}
-	}
-	return Hold{Reason: NotResident, Until: request.Begin}
-}
-
-// loadTime returns how long it takes until a model that nobody loads yet is
-// resident.
-func (board *Board) loadTime(request *Request) time.Duration {
-	if board.catalogue == nil {
-		return defaultAfter
-	}
-	service := board.catalogue.Service(request.Service)
-	if service == nil || service.Model(request.Model) == nil {
-		return longAfter
-	}
-	model := service.Model(request.Model)
-	for _, replica := range board.services[request.Service] {
-		if !replica.leaving() && replica.reported && (slices.Contains(replica.report.Disk, request.Model) || slices.Contains(replica.report.Host, request.Model)) {
-			return model.DiskLoad() + planTime
-		}
-	}
-	return model.StoreLoad() + planTime
-}
-
-func admit(request *Request, best *replica, wait time.Duration, fetch bool, now time.Time) Decision {
-	left := request.Begin.Sub(now)
-	if request.Model != "" && wait > time.Duration(float64(left)*deadlineMargin) {
-		return Refuse{Reason: Saturated, After: max(wait-left/2, shortestAfter)}
-	}
-	if fetch {
-		return Fetch{Target: best.target}
-	}
-	return Send{Target: best.target}
-}
-
 // Sent records that a request went to a target; the returned number names the
 // flight.
 func (board *Board) Sent(key directory.TargetKey, request *Request, now time.Time) uint64 {
@@ -258,9 +165,8 @@
 			}
 		}
 	}
-	wall := request.Model + "/" + request.Adapter + "/"
-	for _, part := range request.Parts {
-		replica.cached[wall+part.ID] = now
+	for _, key := range request.partKeys() {
+		replica.cached[key] = now
 	}
 }
 
@@ -291,6 +197,7 @@
 	}
 	if request.Adapter == "" {
 		delete(replica.models, request.Model)
+		board.drop(replica, request.Model)
 		return
 	}
 	var kept []string
--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -248,19 +248,115 @@
 	}
 }
 
+// BenchmarkRoute measures a choice among targets that all hold the model that
+// is asked for, with and without an adapter, and on a fleet of the size aimed at
+// where each target holds five of 250 models.
 func BenchmarkRoute(b *testing.B) {
 	for _, count := range []int{44, 1400} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			var ids []string
-			for index := range count {
-				ids = append(ids, fmt.Sprintf("t%d", index))
-			}
-			board, _ := board(ids...)
-			wanted := request()
-			b.ReportAllocs()
-			for b.Loop() {
-				board.Choose(wanted, nil, start)
+		for _, adapter := range []string{"", "a1"} {
+			b.Run(fmt.Sprintf("%d/adapter=%s", count, adapter), func(b *testing.B) {
+				board, _ := board(ids(count)...)
+				wanted := request()
+				wanted.Adapter = adapter
+				benchmarkChoose(b, board, wanted)
+			})
+		}
+	}
+	b.Run("1400/models=250", func(b *testing.B) {
+		board := NewBoard("here")
+		var targets []*directory.Target
+		for index, id := range ids(1400) {
+			spec := directory.TargetSpec{ID: id, Service: "llm", DataCentre: "here", Slots: 64}
+			for model := range 5 {
+				spec.Models = append(spec.Models, directory.Resident{Model: fmt.Sprintf("m%d", (5*index+model)%250)})
 			}
-		})
+			targets = append(targets, directory.NewTarget(spec))
+		}
+		board.SetTargets(targets)
+		wanted := request()
+		wanted.Model = "m7"
+		benchmarkChoose(b, board, wanted)
+	})
+}
+
+func ids(count int) []string {
+	var ids []string
+	for index := range count {
+		ids = append(ids, fmt.Sprintf("t%d", index))
+	}
+	return ids
+}
+
+func benchmarkChoose(b *testing.B, board *Board, wanted *Request) {
+	wanted.Parts = []Part{{ID: "5c1e07a2", Tokens: 568}, {ID: "91bd3f06", Tokens: 432}}
+	b.ReportAllocs()
+	for b.Loop() {
+		board.Choose(wanted, nil, start)
+	}
+}
+
+func TestLoadSpreadsOverMoreTargetsThanAreWeighed(t *testing.T) {
+	names := ids(3 * maxWeighed)
+	board, keys := board(names...)
+	byID := map[string]directory.TargetKey{}
+	for _, key := range keys {
+		byID[key.ID] = key
+	}
+	counts := map[string]int{}
+	for range 4 * len(names) {
+		id := sentTo(t, board.Choose(request(), nil, start))
+		counts[id]++
+		board.Sent(byID[id], request(), start)
 	}
+	for _, id := range names {
+		assert.Assert(t, counts[id] >= 2 && counts[id] <= 6, "%s got %d of %d", id, counts[id], 4*len(names))
+	}
+}
+
+// TestHoldersAreThoseOfTheReports plays reports, lists and refusals, and holds
+// the index of holders against what each target holds.
+func TestHoldersAreThoseOfTheReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		board, keys := board(ids(6)...)
+		models := []string{"m", "n", "o"}
+		for step := range 40 {
+			key := rapid.SampledFrom(keys).Draw(t, "target")
+			model := rapid.SampledFrom(models).Draw(t, "model")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				var residents []directory.Resident
+				for _, one := range models {
+					if rapid.Bool().Draw(t, one) {
+						residents = append(residents, directory.Resident{Model: one})
+					}
+				}
+				board.SetReport(key, directory.Report{At: start.Add(time.Duration(step) * time.Millisecond), Models: residents})
+			case 1:
+				board.Lacks(key, &Request{Service: "llm", Model: model})
+			case 2:
+				var listed []*directory.Target
+				for _, id := range ids(6) {
+					if rapid.Bool().Draw(t, id) {
+						listed = append(listed, target(id))
+					}
+				}
+				board.SetTargets(listed)
+			default:
+				board.Sent(key, request(), start)
+			}
+			for _, model := range models {
+				held := map[string]bool{}
+				for _, replica := range board.services["llm"] {
+					if replica.holds(model) {
+						held[replica.target.ID()] = true
+					}
+				}
+				indexed := map[string]bool{}
+				for _, replica := range board.candidates("llm", model) {
+					indexed[replica.target.ID()] = true
+				}
+				assert.DeepEqual(t, indexed, held)
+			}
+		}
+	})
 }
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -78,7 +78,7 @@
 func (replica *replica) silent(now time.Time) bool { return replica.silentFor(silence, now) }
 
 func (replica *replica) silentFor(least time.Duration, now time.Time) bool {
-	if !replica.reported || now.Sub(replica.report.At) < least || now.Sub(replica.sign) < least {
+	if len(replica.flights) == 0 || !replica.reported || now.Sub(replica.report.At) < least || now.Sub(replica.sign) < least {
 		return false
 	}
 	for _, flight := range replica.flights {
@@ -109,6 +109,9 @@
 	if !replica.fresh(now) {
 		return own
 	}
+	if own == 0 {
+		return replica.report.Running + replica.report.Waiting
+	}
 	since := 0
 	for _, flight := range replica.flights {
 		if flight.sent.After(replica.report.At) {
@@ -142,12 +145,11 @@
 // unread returns the prompt tokens that the target does not keep yet.
 func (replica *replica) unread(request *Request) int {
 	left := request.Prompt
-	wall := request.Model + "/" + request.Adapter + "/"
-	for _, part := range request.Parts {
-		if _, kept := replica.cached[wall+part.ID]; !kept {
+	for index, key := range request.partKeys() {
+		if _, kept := replica.cached[key]; !kept {
 			break
 		}
-		left -= part.Tokens
+		left -= request.Parts[index].Tokens
 	}
 	return max(left, 0)
 }
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -27,6 +27,20 @@
 	Arrived  time.Time
 	Begin    time.Time // latest first event, after which the caller leaves
 	Deadline time.Time // latest end
+	keys     []string  // of the parts, in what targets keep; made when first needed
+}
+
+// partKeys returns the names under which a target keeps the parts of the
+// request: the same part read for another model or adapter is another one.
+func (request *Request) partKeys() []string {
+	if len(request.keys) == len(request.Parts) {
+		return request.keys
+	}
+	request.keys = make([]string, 0, len(request.Parts))
+	for _, part := range request.Parts {
+		request.keys = append(request.keys, request.Model+"/"+request.Adapter+"/"+part.ID)
+	}
+	return request.keys
 }
 
 // memory returns the KV cache that the request takes in the end.
