Let one entry read the platform's documents for all

Cause: each entry watched the configuration and read the list of targets every 0.8 s by itself, 10 calls a second over the system in calm and growing with the entries; asked for are fewer than 5.

Ruled out: a watch on the list, which a silent connection hides for as long as it lasts; polling with stale answers, which may be seconds old.

The entry that plans reads (every 0.8 s, watches of 1 s) and tells the age of its copies; the others fetch what is newer from it and read by themselves when they have not been told for 1.3 or 1.5 s, in time for the bounds of 2 s (directory.Vintage, with a property test that a copy is never older than it says). Tests: four entries stay under 5 calls a second and all obey a leaving target and a withdrawn key within 2 s, also without the leader; they fail when every entry leads, and when no entry reads by itself. The first one also showed that entries without agents never met all others; now they introduce one another.

--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -29,6 +29,7 @@
 	listenerLife   = 3 * time.Second      // entries that have not greeted for that long are told nothing
 	startRetry     = 300 * time.Millisecond
 	catalogueRest  = 2 * time.Second        // between two readings of the configuration
+	firstWait      = 3 * time.Second        // of a watch for the first configuration; a connection that went silent shows by then
 	usualUnload    = 500 * time.Millisecond // an unload waits for the model's requests
 	loadWindow     = 8 * time.Second        // over which loads from the weight store are told
 )
@@ -204,13 +205,19 @@
 // followCatalogue reads the configuration at the start, and again when entries
 // tell of a newer one. The first reading also gives the fence.
 func (steward *Steward) followCatalogue(ctx context.Context) error {
+	cursor := directory.Cursor(0)
 	for ctx.Err() == nil {
-		document, revision, err := steward.options.Source.Configuration(ctx, 0, 0)
-		if err != nil || document == nil {
+		document, revision, err := steward.options.Source.Configuration(ctx, cursor, firstWait)
+		if err != nil {
 			steward.options.Metrics.Add("catalogue.errors", 1)
 			steward.pause(ctx, startRetry)
 			continue
 		}
+		cursor = revision
+		if document == nil {
+			continue // none has been written yet
+		}
+		cursor = 0
 		parsed, err := steward.options.Source.ParseConfiguration(document)
 		if err != nil {
 			steward.log.Warnf("configuration cannot be read: %v", err)
@@ -249,7 +256,7 @@
 // recall looks up what an earlier start of the target held, which the platform's
 // list still tells for a while.
 func (steward *Steward) recall(ctx context.Context) {
-	document, err := steward.options.Source.Targets(ctx)
+	document, _, err := steward.options.Source.Targets(ctx)
 	if err != nil {
 		steward.log.Warnf("list of targets is not at hand, earlier models are not loaded again: %v", err)
 		return
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"endiverill.example/kernel/directory"
@@ -14,27 +14,40 @@
 )
 
 const (
-	configWait  = 3 * time.Second        // of one watch; a connection that went silent shows by then
-	configRetry = 150 * time.Millisecond // after a call that failed
-	targetPart  = 2                      // readings of the list within the time to notice a leaving target
-	targetRetry = 300 * time.Millisecond
+	documentLook = 50 * time.Millisecond // between two looks at whether a document is due
+	watchLeast   = time.Millisecond      // of a question for what changed so far
+	configOften  = 0.5                   // part of the bound on configurations that a watch of the leader takes
+	configMost   = 0.75                  // part of that bound after which an entry asks by itself
+	listOften    = 0.4                   // part of the bound on leaving targets between two readings of the leader
+	listMost     = 0.65                  // part of that bound after which an entry reads by itself
 )
 
-// follower keeps the configuration and the list of targets up to date.
+// follower keeps the configuration and the list of targets up to date. The
+// entry that plans reads them for all; the others hear from it how new their
+// copies are, and read by themselves when they do not.
 type follower struct {
-	gateway *Gateway
-	source  directory.Source
-	mu      sync.Mutex
-	roster  *directory.Roster
-	targets []*directory.Target
-	config  []byte // documents as they came, for peers
-	list    []byte
-	newer   chan struct{} // a peer has a newer configuration
-	failing atomic.Bool   // the last reading of the configuration or of the list failed
+	gateway   *Gateway
+	source    directory.Source
+	mu        sync.Mutex
+	roster    *directory.Roster
+	listed    []*directory.Target // as read last
+	targets   []*directory.Target // to use
+	refreshed time.Time           // when targets were put in force last
+	config    []byte              // documents as they came, for peers
+	list      []byte
+	version   *directory.Vintage // of config
+	listing   *directory.Vintage // of list
+	failing   atomic.Bool        // the last reading of the configuration or of the list failed
 }
 
 func newFollower(gateway *Gateway) *follower {
-	return &follower{gateway: gateway, source: gateway.options.Source, roster: directory.NewRoster(), newer: make(chan struct{}, 1)}
+	part := func(bound time.Duration, part float64) time.Duration { return time.Duration(float64(bound) * part) }
+	config, drain := gateway.options.ConfigBound, gateway.options.DrainBound
+	return &follower{
+		gateway: gateway, source: gateway.options.Source, roster: directory.NewRoster(),
+		version: directory.NewVintage(part(config, configOften), part(config, configMost)),
+		listing: directory.NewVintage(part(drain, listOften), part(drain, listMost)),
+	}
 }
 
 func (follower *follower) run(ctx context.Context) error {
@@ -51,78 +64,76 @@
 	}
 }
 
+// leads says whether this entry reads for all.
+func (follower *follower) leads() bool { return follower.gateway.planner.fence() != 0 }
+
+// due says whether this entry should read a document now.
+func (follower *follower) due(vintage *directory.Vintage) bool {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	return vintage.Due(follower.leads(), follower.gateway.clock.Now())
+}
+
+// reached takes note of whether the platform answered a reading.
+func (follower *follower) reached(document string, vintage *directory.Vintage, healthy *bool, err error) {
+	follower.failing.Store(err != nil)
+	switch {
+	case err != nil:
+		follower.mu.Lock()
+		vintage.Failed(follower.gateway.clock.Now())
+		follower.mu.Unlock()
+		if *healthy {
+			follower.gateway.log.Warnf("lost the source of the %s: %v", document, err)
+		}
+	case !*healthy:
+		follower.gateway.log.Infof("regained the source of the %s", document)
+	}
+	*healthy = err == nil
+}
+
 func (follower *follower) followConfig(ctx context.Context) error {
 	cursor := directory.Cursor(0)
 	healthy := true
 	for ctx.Err() == nil {
-		document, next, err := follower.watchConfig(ctx, cursor)
-		if errors.Is(err, errNewer) {
-			cursor = 0
+		if !follower.leads() && !follower.due(follower.version) {
+			follower.sleep(ctx, documentLook)
 			continue
 		}
+		wait := watchLeast
+		if follower.leads() || follower.gateway.current.Load() == nil {
+			wait = time.Duration(float64(follower.gateway.options.ConfigBound) * configOften)
+		}
+		begun := follower.gateway.clock.Now()
+		document, next, err := follower.source.Configuration(ctx, cursor, wait)
+		follower.reached("configuration", follower.version, &healthy, err)
 		if err != nil {
-			if healthy {
-				follower.gateway.log.Warnf("lost the configuration's source: %v", err)
-			}
-			healthy = false
-			follower.failing.Store(true)
 			follower.sleep(ctx, configRetry)
 			continue
 		}
-		if !healthy {
-			follower.gateway.log.Infof("regained the configuration's source")
-		}
-		healthy = true
-		cursor = next
 		if document != nil {
-			follower.takeConfig(document)
-		} else if cursor == 0 || follower.gateway.current.Load() == nil {
-			follower.sleep(ctx, configRetry)
+			follower.takeConfig(document, begun)
+		} else if cursor != 0 && next != 0 {
+			follower.confirmConfig()
 		}
+		cursor = next
 	}
 	return nil
 }
 
-// errNewer ends a watch when a peer tells of a newer configuration.
-var errNewer = errors.New("a peer has a newer configuration")
-
-// watchConfig waits for the configuration to change, but no longer when a peer
-// has a newer one.
-func (follower *follower) watchConfig(ctx context.Context, cursor directory.Cursor) ([]byte, directory.Cursor, error) {
-	if cursor == 0 {
-		return follower.source.Configuration(ctx, cursor, 0) // reads the newest anyway
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		select {
-		case <-follower.newer:
-			cancel(errNewer)
-		case <-ctx.Done():
-		}
-	}()
-	document, next, err := follower.source.Configuration(ctx, cursor, configWait)
-	if err != nil && errors.Is(context.Cause(ctx), errNewer) {
-		return nil, 0, errNewer
-	}
-	return document, next, err
-}
+const configRetry = 150 * time.Millisecond
 
-// behind records that a peer has a configuration of that version.
-func (follower *follower) behind(version uint64) {
-	current := follower.gateway.current.Load()
-	if current != nil && version <= current.Version() {
-		return
-	}
-	select {
-	case follower.newer <- struct{}{}:
-	default: // known already
+// confirmConfig records that the platform knows no newer configuration.
+func (follower *follower) confirmConfig() {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if current := follower.gateway.current.Load(); current != nil {
+		follower.version.Read(current.Version(), follower.gateway.clock.Now())
 	}
 }
 
-// takeConfig puts a configuration in force unless it is older than the one in
-// force.
-func (follower *follower) takeConfig(document []byte) {
+// takeConfig puts a configuration that was the newest at a time in force, unless
+// it is older than the one in force.
+func (follower *follower) takeConfig(document []byte, at time.Time) {
 	gateway := follower.gateway
 	parsed, err := follower.source.ParseConfiguration(document)
 	if err != nil {
@@ -132,6 +143,7 @@
 	}
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
+	follower.version.Read(parsed.Version(), at)
 	if current := gateway.current.Load(); current != nil && parsed.Version() <= current.Version() {
 		return
 	}
@@ -144,37 +156,66 @@
 	gateway.metrics.Put("config.version", int64(parsed.Version()))
 	gateway.log.Infof("configuration %d is in force", parsed.Version())
 	gateway.changed.raise()
+	gateway.peers.hurry()
 }
 
 func (follower *follower) followTargets(ctx context.Context) error {
 	healthy := true
 	for ctx.Err() == nil {
-		document, err := follower.source.Targets(ctx)
-		if err == nil {
-			follower.failing.Store(false)
-			follower.takeTargets(document, follower.gateway.clock.Now())
-			if !healthy {
-				follower.gateway.log.Infof("regained the list of targets")
-			}
-			healthy = true
-			follower.sleep(ctx, follower.gateway.options.DrainBound/targetPart)
+		if !follower.due(follower.listing) {
+			follower.refresh()
+			follower.sleep(ctx, documentLook)
 			continue
 		}
-		follower.mu.Lock()
-		follower.roster.Failed()
-		follower.mu.Unlock()
-		follower.failing.Store(true)
-		if healthy {
-			follower.gateway.log.Warnf("lost the list of targets: %v", err)
+		begun := follower.gateway.clock.Now()
+		document, at, err := follower.source.Targets(ctx)
+		follower.reached("list of targets", follower.listing, &healthy, err)
+		if err != nil {
+			follower.mu.Lock()
+			follower.roster.Failed()
+			follower.mu.Unlock()
+			continue
 		}
-		healthy = false
-		follower.sleep(ctx, targetRetry)
+		follower.takeTargets(document, follower.numberOf(document, uint64(at)), begun)
 	}
 	return nil
 }
 
-// takeTargets takes in a reading of the list.
-func (follower *follower) takeTargets(document []byte, at time.Time) {
+// refresh takes targets out that are used for a while only, such as those that
+// lapsed while the list could not be read, and were not listed again.
+func (follower *follower) refresh() {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	now := follower.gateway.clock.Now()
+	if now.Sub(follower.refreshed) < refreshPeriod || follower.listing.Due(false, now) {
+		return
+	}
+	follower.use(follower.roster.Update(follower.listed, now), now)
+}
+
+const refreshPeriod = 500 * time.Millisecond
+
+// use puts targets in force; the caller holds the lock.
+func (follower *follower) use(targets []*directory.Target, now time.Time) {
+	follower.targets, follower.refreshed = targets, now
+	follower.gateway.mu.Lock()
+	defer follower.gateway.mu.Unlock()
+	follower.gateway.board.SetTargets(targets)
+}
+
+// numberOf returns the number of a list that was read when the platform's
+// history stood at a place: the same list keeps its number.
+func (follower *follower) numberOf(document []byte, at uint64) uint64 {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if bytes.Equal(document, follower.list) {
+		return follower.listing.Number()
+	}
+	return at
+}
+
+// takeTargets takes in a reading of the list, by this entry or by another one.
+func (follower *follower) takeTargets(document []byte, number uint64, at time.Time) {
 	gateway := follower.gateway
 	listed, skipped, err := follower.source.ParseTargets(document)
 	if err != nil {
@@ -184,15 +225,21 @@
 	gateway.metrics.Put("targets.skipped", int64(skipped))
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	follower.targets = follower.roster.Update(listed, at)
-	follower.list = document
-	gateway.mu.Lock()
-	gateway.board.SetTargets(follower.targets)
-	gateway.mu.Unlock()
+	if number < follower.listing.Number() {
+		return // overtaken by a newer one
+	}
+	changed := number != follower.listing.Number()
+	follower.listing.Read(number, at)
+	now := gateway.clock.Now()
+	follower.listed, follower.list = listed, document
+	follower.use(follower.roster.Update(listed, now), now)
 	if !gateway.listed.Swap(true) {
 		gateway.log.Infof("list of %d targets is known, %d entries skipped", len(follower.targets), skipped)
 	}
 	gateway.changed.raise()
+	if changed {
+		gateway.peers.hurry()
+	}
 }
 
 // replaced takes note of another start of the target on a host, before the
@@ -205,33 +252,60 @@
 		return
 	}
 	gateway.log.Infof("target on %s is now %s, born %d", host, id, born)
-	follower.targets = follower.roster.Targets()
-	gateway.mu.Lock()
-	gateway.board.SetTargets(follower.targets)
-	gateway.mu.Unlock()
+	follower.use(follower.roster.Targets(), gateway.clock.Now())
 	// The start before has ended, though its connections may not show it.
 	gateway.withdraw(func(flight *flight) bool { return flight.target.Host() == host && flight.target.Born() < born })
 }
 
-// helpless says whether the platform does not answer this instance.
-func (follower *follower) helpless() bool { return follower.failing.Load() }
+// helpless says whether this entry lacks a document and the platform does not
+// answer it.
+func (follower *follower) helpless() bool {
+	return follower.failing.Load() && !follower.gateway.ready()
+}
 
 // snapshot returns the documents in force, for peers.
 func (follower *follower) snapshot() *wire.Snapshot {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	return &wire.Snapshot{Config: follower.config, Targets: follower.list}
+	now := follower.gateway.clock.Now()
+	snapshot := &wire.Snapshot{Config: follower.config, Targets: follower.list, List: follower.listing.Number()}
+	snapshot.VersionAge, _ = follower.version.Age(now)
+	snapshot.ListAge, _ = follower.listing.Age(now)
+	return snapshot
 }
 
-// adopt takes over a peer's documents. Its list is taken only while this
-// instance has none of its own, since it cannot tell which is newer.
-func (follower *follower) adopt(peer string, snapshot *wire.Snapshot) {
+// describe writes how new this entry's documents are.
+func (follower *follower) describe(state *wire.EntryState) {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	now := follower.gateway.clock.Now()
+	state.Version, state.List = follower.version.Number(), follower.listing.Number()
+	state.VersionAge, _ = follower.version.Age(now)
+	state.ListAge, _ = follower.listing.Age(now)
+}
+
+// hear takes in how new a peer's documents are, and says whether one of them is
+// newer than this entry's.
+func (follower *follower) hear(state *wire.EntryState) (newer bool) {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	now := follower.gateway.clock.Now()
+	config := follower.version.Heard(state.Version, state.VersionAge, now)
+	list := follower.listing.Heard(state.List, state.ListAge, now)
+	return config || list
+}
+
+// adopt takes over what is newer in a peer's documents, which were sent for at
+// a time.
+func (follower *follower) adopt(snapshot *wire.Snapshot, sent time.Time) {
 	if len(snapshot.Config) > 0 {
-		follower.takeConfig(snapshot.Config)
+		follower.takeConfig(snapshot.Config, sent.Add(-snapshot.VersionAge))
 	}
-	if len(snapshot.Targets) > 0 && !follower.gateway.listed.Load() {
-		follower.gateway.log.Infof("takes the list of targets from peer %s", peer)
-		follower.takeTargets(snapshot.Targets, follower.gateway.clock.Now())
+	follower.mu.Lock()
+	newer := snapshot.List > follower.listing.Number()
+	follower.mu.Unlock()
+	if len(snapshot.Targets) > 0 && newer {
+		follower.takeTargets(snapshot.Targets, snapshot.List, sent.Add(-snapshot.ListAge))
 	}
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -58,6 +58,7 @@
 	LeaseKey    string        // of the lease on planning
 	RateWindow  time.Duration // over which customers' spending is counted
 	DrainBound  time.Duration // within which a leaving target gets no new work
+	ConfigBound time.Duration // within which a configuration is in force
 	LoadWindow  time.Duration // over which loads from the weight store are counted
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -19,6 +19,9 @@
 
 const (
 	tellPeriod     = 200 * time.Millisecond // between an entry's messages to others
+	introducePart  = 5                      // of messages, one names other entries
+	maxIntroduced  = 8                      // entries named at once
+	introduceLife  = 3 * time.Second        // entries heard before that may be gone
 	peersPerPeriod = 8                      // entries beyond which messages become rarer in proportion
 	peerLife       = 30 * time.Second       // entries unheard for that long are told nothing
 	adapterRepeat  = 60 * time.Millisecond  // until a wish for an adapter is sent again; it takes 5 to 14 ms
@@ -31,6 +34,8 @@
 	gateway *Gateway
 	socket  *datagram.Socket
 	next    atomic.Uint64
+	early   chan struct{} // wakes the sender before its time
+	told    uint64        // rounds of messages
 	mu      sync.Mutex
 	entries map[netip.AddrPort]time.Time // other entries and when they were heard
 	waiting map[uint64]chan *wire.Result
@@ -57,6 +62,7 @@
 func newPeers(gateway *Gateway) *peers {
 	return &peers{
 		gateway: gateway,
+		early:   make(chan struct{}, 1),
 		entries: map[netip.AddrPort]time.Time{},
 		waiting: map[uint64]chan *wire.Result{},
 		used:    map[directory.TargetKey]map[wire.AdapterUse]bool{},
@@ -86,6 +92,7 @@
 			peers.tell(false)
 			select {
 			case <-peers.gateway.clock.After(peers.period()):
+			case <-peers.early:
 			case <-ctx.Done():
 			}
 		}
@@ -102,6 +109,14 @@
 	return tellPeriod * time.Duration(1+len(peers.entries)/peersPerPeriod)
 }
 
+// hurry brings the next messages forward.
+func (peers *peers) hurry() {
+	select {
+	case peers.early <- struct{}{}:
+	default: // brought forward already
+	}
+}
+
 // meet adds an entry; the caller holds the lock.
 func (peers *peers) meet(address string) {
 	parsed, err := netip.ParseAddrPort(address)
@@ -115,6 +130,25 @@
 	}
 }
 
+// introduced returns some entries that were heard lately for others to meet,
+// every few messages; the caller holds the lock.
+func (peers *peers) introduced(now time.Time) []string {
+	peers.told++
+	if peers.told%introducePart != 1 {
+		return nil
+	}
+	var introduced []string
+	for address, heard := range peers.totals { // in another order each time
+		if now.Sub(heard.at) > introduceLife {
+			continue
+		}
+		if introduced = append(introduced, address.String()); len(introduced) == maxIntroduced {
+			break
+		}
+	}
+	return introduced
+}
+
 // leave tells the others that this instance ends.
 func (peers *peers) leave() { peers.tell(true) }
 
@@ -123,9 +157,7 @@
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	state := &wire.EntryState{Name: gateway.options.Name, Incarnation: gateway.options.Incarnation, Leaving: leaving}
-	if current := gateway.current.Load(); current != nil {
-		state.Version = current.Version()
-	}
+	gateway.follower.describe(state)
 	period := peers.period()
 	gateway.mu.Lock()
 	gateway.allowance.SetPeriod(period)
@@ -140,6 +172,7 @@
 		return
 	}
 	state.Wanted = listTotals(peers.wanted)
+	state.Entries = peers.introduced(now)
 	short := *state
 	short.Wanted = nil
 	planned := peers.planned(now)
@@ -161,7 +194,7 @@
 // greetAgents tells the agents that this entry wants their messages, and which
 // adapters it uses.
 func (peers *peers) greetAgents(state *wire.EntryState) {
-	state.Spent, state.Levels, state.Wanted = nil, nil, nil
+	state.Spent, state.Levels, state.Wanted, state.Entries = nil, nil, nil, nil
 	for _, target := range peers.gateway.follower.engines() {
 		address, err := peers.agent(target)
 		if err != nil {
@@ -225,8 +258,13 @@
 		delete(peers.totals, from)
 		return
 	}
-	gateway.follower.behind(state.Version)
+	if gateway.follower.hear(state) {
+		gateway.relaying.learn(from)
+	}
 	peers.entries[from] = now
+	for _, address := range state.Entries {
+		peers.meet(address)
+	}
 	wanted := totalsOf(state.Wanted)
 	before, known := peers.totals[from]
 	same := known && before.incarnation == state.Incarnation
--- a/entry/gateway/relaying.go
+++ b/entry/gateway/relaying.go
@@ -15,19 +15,20 @@
 )
 
 const (
-	askPeriod  = 300 * time.Millisecond // between two questions to peers while the platform does not answer
+	askPeriod  = 300 * time.Millisecond // between two questions to peers while a document is missing
 	askTimeout = 500 * time.Millisecond
 )
 
-// relaying passes the platform's documents on to entries that cannot reach it,
-// and asks for them when this one cannot.
+// relaying passes the platform's documents between entries: to those that hear
+// of newer ones, and to those that start while the platform does not answer.
 type relaying struct {
 	gateway *Gateway
 	links   *link.Pool
+	newer   chan netip.AddrPort // a peer with newer documents
 }
 
 func newRelaying(gateway *Gateway) *relaying {
-	return &relaying{gateway: gateway, links: link.NewPool(func(call string, bytes int) {
+	return &relaying{gateway: gateway, newer: make(chan netip.AddrPort, 1), links: link.NewPool(func(call string, bytes int) {
 		gateway.metrics.Add("bytes."+call, int64(bytes))
 	})}
 }
@@ -48,6 +49,8 @@
 				relaying.ask(ctx)
 			}
 			select {
+			case peer := <-relaying.newer:
+				relaying.fetch(ctx, peer)
 			case <-relaying.gateway.clock.After(askPeriod):
 			case <-ctx.Done():
 			}
@@ -64,20 +67,32 @@
 
 // ask asks one peer, another one each time.
 func (relaying *relaying) ask(ctx context.Context) {
-	gateway := relaying.gateway
-	peers := gateway.peers.addresses()
-	if len(peers) == 0 {
-		return
+	peers := relaying.gateway.peers.addresses()
+	if len(peers) > 0 {
+		relaying.fetch(ctx, peers[rand.IntN(len(peers))])
 	}
-	peer := peers[rand.IntN(len(peers))].String()
+}
+
+// fetch takes over what is newer in a peer's documents.
+func (relaying *relaying) fetch(ctx context.Context, peer netip.AddrPort) {
+	gateway := relaying.gateway
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	sent := gateway.clock.Now()
 	snapshot := &wire.Snapshot{}
-	if err := relaying.links.Invoke(ctx, peer, wire.CallSnapshot, &wire.SnapshotRequest{}, snapshot); err != nil {
-		gateway.log.Debugf("peer %s gave no documents: %v", peer, err)
+	if err := relaying.links.Invoke(ctx, peer.String(), wire.CallSnapshot, &wire.SnapshotRequest{}, snapshot); err != nil {
+		gateway.log.Infof("peer %s gave no documents: %v", peer, err)
 		return
 	}
-	gateway.follower.adopt(peer, snapshot)
+	gateway.follower.adopt(snapshot, sent)
+}
+
+// learn has a peer's documents fetched, unless others are to be already.
+func (relaying *relaying) learn(peer netip.AddrPort) {
+	select {
+	case relaying.newer <- peer:
+	default:
+	}
 }
 
 // addresses returns the addresses of the other entries.
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -24,12 +24,16 @@
 	Incarnation uint64
 	Version     uint64 // configuration in force
 	Leaving     bool
-	Spent       []Total      // cost units since the start, by customer
-	Levels      []Total      // cost units left in the buckets, by customer
-	Wanted      []Total      // tokens asked for since the start, by model
-	Missed      []Total      // of these, not sent to a target, by model
-	Used        []AdapterUse // adapters used since the last message, at the agent's target
-	PlanFence   uint64       // of the planner that the entry is, 0 when it is none
+	Spent       []Total       // cost units since the start, by customer
+	Levels      []Total       // cost units left in the buckets, by customer
+	Wanted      []Total       // tokens asked for since the start, by model
+	Missed      []Total       // of these, not sent to a target, by model
+	Used        []AdapterUse  // adapters used since the last message, at the agent's target
+	PlanFence   uint64        // of the planner that the entry is, 0 when it is none
+	VersionAge  time.Duration // since the version was known to be the newest
+	List        uint64        // number of the list of targets, 0 without one
+	ListAge     time.Duration // since the list was known to be the newest
+	Entries     []string      // addresses of some entries that were heard lately
 }
 
 // AdapterUse names an adapter that requests use.
@@ -205,6 +209,10 @@
 		writer.message(8, &entryState.Used[index])
 	}
 	writer.varint(9, entryState.PlanFence)
+	writer.varint(10, uint64(entryState.VersionAge))
+	writer.varint(11, entryState.List)
+	writer.varint(12, uint64(entryState.ListAge))
+	writer.texts(13, entryState.Entries)
 }
 
 func (entryState *EntryState) field(number protowire.Number, value value) {
@@ -230,6 +238,14 @@
 		}
 	case 9:
 		entryState.PlanFence = value.number
+	case 10:
+		entryState.VersionAge = time.Duration(value.number)
+	case 11:
+		entryState.List = value.number
+	case 12:
+		entryState.ListAge = time.Duration(value.number)
+	case 13:
+		entryState.Entries = append(entryState.Entries, value.text())
 	}
 }
 
--- a/kernel/wire/snapshot.go
+++ b/kernel/wire/snapshot.go
@@ -1,6 +1,10 @@
 package wire
 
-import "google.golang.org/protobuf/encoding/protowire"
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
 
 // CallSnapshot asks an entry for the documents that it serves by.
 const CallSnapshot = "/peer/snapshot"
@@ -11,8 +15,11 @@
 
 // Snapshot holds the platform's documents as an entry last read them.
 type Snapshot struct {
-	Config  []byte // empty when the entry knows none
-	Targets []byte // empty when the entry knows none
+	Config     []byte        // empty when the entry knows none
+	Targets    []byte        // empty when the entry knows none
+	VersionAge time.Duration // since Config was known to be the newest
+	List       uint64        // number of Targets
+	ListAge    time.Duration // since Targets was known to be the newest
 }
 
 func (snapshotRequest *SnapshotRequest) appendTo(*writer) {}
@@ -22,6 +29,9 @@
 func (snapshot *Snapshot) appendTo(writer *writer) {
 	writer.bytes(1, snapshot.Config)
 	writer.bytes(2, snapshot.Targets)
+	writer.varint(3, uint64(snapshot.VersionAge))
+	writer.varint(4, snapshot.List)
+	writer.varint(5, uint64(snapshot.ListAge))
 }
 
 func (snapshot *Snapshot) field(number protowire.Number, value value) {
@@ -30,5 +40,11 @@
 		snapshot.Config = value.copied()
 	case 2:
 		snapshot.Targets = value.copied()
+	case 3:
+		snapshot.VersionAge = time.Duration(value.number)
+	case 4:
+		snapshot.List = value.number
+	case 5:
+		snapshot.ListAge = time.Duration(value.number)
 	}
 }
