Explain a request from the logs of several processes

Cause: on-call engineers have only logs. 'explain request' asks running instances, and a refusal or a late stream did not say what had been foreseen, nor by a report how old.

The board hands out the foreseen wait and the age of the report; refusals for a full queue name them, and each stream's end sets them beside what happened.

--- a/endiverill/internal/command/ask.go
+++ b/endiverill/internal/command/ask.go
@@ -92,37 +92,3 @@
 	}
 	_ = writer.Flush()
 }
-
-func explainVerb() *cli.Command {
-	return &cli.Command{
-		Name: "explain", Usage: "say why: request ID | model NAME | customer NAME", ArgsUsage: "KIND NAME",
-		Flags: []cli.Flag{instancesFlag},
-		Action: func(ctx context.Context, command *cli.Command) error {
-			kind, name := command.Args().Get(0), command.Args().Get(1)
-			if kind != "request" && kind != "model" && kind != "customer" || name == "" {
-				return errors.Newf("explain takes a kind (request, model or customer) and a name, not %q %q", kind, name)
-			}
-			known := false
-			for _, address := range command.StringSlice("instance") {
-				var answer any
-				err := ask(ctx, address, "/explain/"+kind+"/"+name, &answer)
-				if errors.Is(err, errNotKnown) {
-					continue
-				}
-				if err != nil {
-					return err
-				}
-				known = true
-				data, err := json.MarshalIndent(answer, "", "  ")
-				if err != nil {
-					return err
-				}
-				fmt.Printf("%s says\n%s\n", address, data)
-			}
-			if !known {
-				return errors.Newf("no instance knows %s %s", kind, name)
-			}
-			return nil
-		},
-	}
-}
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -260,8 +260,10 @@
 		}
 		switch decision := decision.(type) {
 		case dispatch.Send:
+			visit.outlook = decision.Outlook
 			return decision.Target, nil
 		case dispatch.Fetch:
+			visit.outlook = decision.Outlook
 			if gateway.fetch(visit, decision.Target) {
 				return decision.Target, nil
 			}
@@ -292,7 +294,7 @@
 func refusal(refuse dispatch.Refuse) *code.Fault {
 	switch refuse.Reason {
 	case dispatch.Saturated:
-		return code.New(code.QueueFull, code.RanNo, "no target would begin in time").WithRetryAfter(refuse.After)
+		return code.New(code.QueueFull, code.RanNo, "no target would begin in time, the best one after %v by a report %v old", refuse.Outlook.Wait, refuse.Outlook.Age).WithRetryAfter(refuse.After)
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.After)
 	case dispatch.TooLarge:
--- a/entry/gateway/visit.go
+++ b/entry/gateway/visit.go
@@ -30,6 +30,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	version  uint64
+	outlook  dispatch.Outlook // at the target that was chosen last
 }
 
 // flight is one send of a visit to a target.
@@ -40,6 +41,8 @@
 	begun   bool
 	ended   bool
 	handed  time.Time
+	outlook dispatch.Outlook
+	first   time.Time // event, zero before it
 	signed  time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -48,7 +51,7 @@
 
 func (visit *visit) launch(target *directory.Target) *flight {
 	now := visit.gateway.clock.Now()
-	flight := &flight{visit: visit, target: target, handed: now, outcome: dispatch.Failed}
+	flight := &flight{visit: visit, target: target, handed: now, outlook: visit.outlook, outcome: dispatch.Failed}
 	flight.ctx, flight.cancel = context.WithCancel(visit.ctx)
 	visit.gateway.mu.Lock()
 	defer visit.gateway.mu.Unlock()
@@ -64,9 +67,10 @@
 	}
 	flight.begun = true
 	gateway := flight.visit.gateway
+	flight.first = gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.board.Begun(flight.target.Key(), flight.number, gateway.clock.Now())
+	gateway.board.Begun(flight.target.Key(), flight.number, flight.first)
 }
 
 // sign records that the target has sent something, a few times a second.
@@ -93,13 +97,28 @@
 	flight.ended = true
 	flight.outcome = outcome
 	gateway := flight.visit.gateway
+	now := gateway.clock.Now()
+	flight.describe(now)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.board.Ended(flight.target.Key(), flight.number, outcome, gateway.clock.Now())
+	gateway.board.Ended(flight.target.Key(), flight.number, outcome, now)
 	delete(gateway.flights, flight.number)
 	flight.cancel()
 }
 
+// describe logs how a flight ended beside what was foreseen of it.
+func (flight *flight) describe(now time.Time) {
+	if flight.visit.route.Kind() != directory.Stream {
+		return // the line on its answer says it all
+	}
+	first := "none"
+	if flight.begun {
+		first = flight.first.Sub(flight.handed).String()
+	}
+	flight.visit.gateway.log.Infof("request %q ended at target %s: %s after %v, first event after %s, foreseen %v by a report %v old",
+		flight.visit.inquiry.ID, flight.target.ID(), flight.outcome, now.Sub(flight.handed), first, flight.outlook.Wait, flight.outlook.Age)
+}
+
 // abandon gives up the requests at targets that stand still.
 func (gateway *Gateway) abandon() {
 	now := gateway.clock.Now()
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -257,6 +257,15 @@
 	Withdrawn                    // ended by the caller or by this instance
 )
 
+// String returns the outcome's name.
+func (outcome Outcome) String() string {
+	names := []string{"none", "answered", "declined", "failed", "withdrawn"}
+	if int(outcome) < len(names) {
+		return names[outcome]
+	}
+	return "invalid"
+}
+
 // Ended records the end of a flight.
 func (board *Board) Ended(key directory.TargetKey, number uint64, outcome Outcome, now time.Time) {
 	replica := board.replicas[key]
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -180,13 +180,21 @@
 		queue := time.Duration(float64(request.Objective) * queuePart)
 		switch {
 		case choice.wait > left:
-			return Refuse{Reason: Saturated, After: max(choice.wait-left/2, shortestAfter)}
+			return Refuse{Reason: Saturated, After: max(choice.wait-left/2, shortestAfter), Outlook: choice.outlook(now)}
 		case request.Objective > 0 && choice.wait-choice.own > queue:
-			return Refuse{Reason: Saturated, After: max(choice.wait-choice.own-queue/2, shortestAfter)}
+			return Refuse{Reason: Saturated, After: max(choice.wait-choice.own-queue/2, shortestAfter), Outlook: choice.outlook(now)}
 		}
 	}
 	if choice.fetch {
-		return Fetch{Target: choice.replica.target}
+		return Fetch{Target: choice.replica.target, Outlook: choice.outlook(now)}
 	}
-	return Send{Target: choice.replica.target}
+	return Send{Target: choice.replica.target, Outlook: choice.outlook(now)}
+}
+
+func (choice choice) outlook(now time.Time) Outlook {
+	outlook := Outlook{Wait: choice.wait, Age: -1}
+	if choice.replica.reported {
+		outlook.Age = now.Sub(choice.replica.report.At)
+	}
+	return outlook
 }
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -53,11 +53,23 @@
 	Missing() bool
 }
 
+// Outlook is what is foreseen of a request at a target, and by what.
+type Outlook struct {
+	Wait time.Duration // until the first event
+	Age  time.Duration // of the target's report; negative without one
+}
+
 type (
 	// Send passes the request on to a target now.
-	Send struct{ Target *directory.Target }
+	Send struct {
+		Target  *directory.Target
+		Outlook Outlook
+	}
 	// Fetch passes the request on once the target holds the adapter.
-	Fetch struct{ Target *directory.Target }
+	Fetch struct {
+		Target  *directory.Target
+		Outlook Outlook
+	}
 	// Hold keeps the request until something changes, but not after Until.
 	Hold struct {
 		Reason Reason
@@ -65,8 +77,9 @@
 	}
 	// Refuse gives the request back; it is worth coming back after After.
 	Refuse struct {
-		Reason Reason
-		After  time.Duration
+		Reason  Reason
+		After   time.Duration
+		Outlook Outlook // at the best target, where there is one
 	}
 )
 
