Avoid targets by the share of requests that they fail

They failed at once and so looked idle, and a target rested only after three failures in a row; a failure of the target's own (500) counted as a success.

Ruled out: the health check, which such targets pass; resting sooner, which punishes a single crash.

The share of failures of the last seconds now speaks against a target, up to a second of waiting; it is forgiven in time, so that the target is tried again.

'explain' no longer asks for an instance when it reads logs.

--- a/endiverill/internal/command/explain.go
+++ b/endiverill/internal/command/explain.go
@@ -20,7 +20,7 @@
 		Description: "Asks running instances or, for a request, reads the logs that --log names. Of these it prints the request's own " +
 			"lines, marked with *, and those on what decided it.",
 		Flags: []cli.Flag{
-			instancesFlag,
+			&cli.StringSliceFlag{Name: "instance", Usage: "operators' `ADDRESS` of an instance; give it once for each"},
 			&cli.StringSliceFlag{Name: "log", Usage: "a process's log, or - for standard input; may be given several times"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -30,6 +30,8 @@
 			}
 			logs := command.StringSlice("log")
 			switch {
+			case len(logs) == 0 && len(command.StringSlice("instance")) == 0:
+				return errors.New("explain needs instances to ask, or logs to read")
 			case len(logs) == 0:
 				return explainByInstances(ctx, command.StringSlice("instance"), kind, name)
 			case kind != "request":
--- a/endiverill/internal/story/story.go
+++ b/endiverill/internal/story/story.go
@@ -111,7 +111,7 @@
 // knowledge begins the lines on what an entry knows; of each kind only the last
 // one before the request matters.
 var knowledge = []string{
-	"gateway: started", "gateway: stopping", "gateway: configuration", "gateway: list of targets", "gateway: lost the", "gateway: regained the",
+	"gateway: started", "gateway: stopping", "gateway: configuration", "gateway: list of", "gateway: lost the", "gateway: regained the",
 }
 
 func isKnowledge(message string) bool { return kindOf(message) != "" }
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -336,9 +336,11 @@
 	}
 	answer.Close()
 	flight.begin()
-	flight.end(dispatch.Answered)
 	result := attempted{relay: newWhole(answer, body, flight), ran: code.RanYes}
-	if status >= fasthttp.StatusInternalServerError {
+	if status < fasthttp.StatusInternalServerError {
+		flight.end(dispatch.Answered)
+	} else {
+		flight.end(dispatch.Erred)
 		result.fault = code.New(code.EngineRefused, code.RanYes, "target %s failed with status %d", target.ID(), status)
 	}
 	return result
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -255,11 +255,12 @@
 	Declined                     // the target said that it did not run the request
 	Failed                       // broken off, silent, or an answer that is none
 	Withdrawn                    // ended by the caller or by this instance
+	Erred                        // with a failure of the target's own
 )
 
 // String returns the outcome's name.
 func (outcome Outcome) String() string {
-	names := []string{"none", "answered", "declined", "failed", "withdrawn"}
+	names := []string{"none", "answered", "declined", "failed", "withdrawn", "erred"}
 	if int(outcome) < len(names) {
 		return names[outcome]
 	}
@@ -276,8 +277,16 @@
 	switch outcome {
 	case Answered:
 		replica.failures, replica.rest, replica.sign = 0, time.Time{}, now
-	case Failed, Declined:
+		replica.judge(0, now)
+	case Erred:
+		replica.sign = now
+		replica.judge(1, now)
+	case Failed:
+		replica.fail(now)
+		replica.judge(1, now)
+	case Declined:
 		replica.fail(now)
+		replica.judge(declinedFault, now)
 	}
 	if replica.gone && len(replica.flights) == 0 {
 		delete(board.replicas, key)
--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +133,38 @@
 	assert.Equal(t, sentTo(t, board.Choose(request(), keys[1:], start)), "a")
 }
 
+// TestTargetThatFailsPartOfItsRequestsGetsFew plays a target that is healthy by
+// its report and fails two requests in five at once, so that it always looks
+// idle, and then mends.
+func TestTargetThatFailsPartOfItsRequestsGetsFew(t *testing.T) {
+	for _, bad := range []Outcome{Failed, Erred, Declined} {
+		board, keys := board("a", "b", "c")
+		counts := map[string]int{}
+		now := start
+		play := func(faulty bool) {
+			for index := range 300 {
+				now = now.Add(10 * time.Millisecond)
+				wanted := request()
+				wanted.Begin = now.Add(time.Second)
+				id := sentTo(t, board.Choose(wanted, nil, now))
+				counts[id]++
+				key := keys[slices.IndexFunc(keys, func(key directory.TargetKey) bool { return key.ID == id })]
+				outcome := Answered
+				if faulty && id == "a" && index%5 < 2 {
+					outcome = bad
+				}
+				board.Ended(key, board.Sent(key, wanted, now), outcome, now)
+			}
+		}
+		play(true)
+		assert.Assert(t, 3*counts["a"] < 100, "%v: %v", bad, counts)
+		now = now.Add(3 * faultLife)
+		clear(counts)
+		play(false)
+		assert.Assert(t, counts["a"] > 0, "a target that has mended is used again: %v", counts)
+	}
+}
+
 func TestReportOfAnotherStartIsIgnored(t *testing.T) {
 	board, _ := board("a")
 	board.SetReport(directory.TargetKey{ID: "a", Born: 7}, directory.Report{At: start, Draining: true})
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -91,7 +91,7 @@
 			choice.wait -= min(affinityGain, choice.wait)
 		}
 	}
-	choice.cost = choice.wait
+	choice.cost = choice.wait + time.Duration(replica.faulty(now)*float64(faultCost))
 	if replica.target.DataCentre() != board.dataCentre {
 		choice.cost += remotePenalty
 	}
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,11 @@
 	backoffFirst   = 250 * time.Millisecond
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
+	faultWeight    = 0.2                     // of the newest outcome in the share of failures
+	faultLife      = 5 * time.Second         // time constant with which old failures are forgiven, so that a target is tried again
+	forgiven       = 0.05                    // share of failures below which a target counts as sound; one in twenty is usual for some services
+	faultCost      = time.Second             // speaks against a target that fails all; callers whose request is lost come back or give up
+	declinedFault  = 0.5                     // part of a failure that an answer "not run" is; the request can go elsewhere
 	silence        = 400 * time.Millisecond  // four periods of an agent's reports
 	standstill     = 1500 * time.Millisecond // a target silent for that long is given up; callers of streams leave after 2 s or more
 	lastMoment     = 400 * time.Millisecond  // a silent target does not begin a request within that; a prompt alone takes a quarter of it
@@ -49,6 +55,8 @@
 	cached   map[string]time.Time
 	fetching map[string]time.Time // MODEL/ADAPTER asked for
 	sign     time.Time            // when the target last answered or sent an event
+	faults   float64              // share of requests that failed lately
+	judged   time.Time            // when faults was brought up to date
 }
 
 func newReplica(target *directory.Target) *replica {
@@ -191,6 +199,25 @@
 	replica.rate += rateSmoothing * (rate - replica.rate)
 }
 
+// judge takes an outcome into the share of failures; fault is 1 for a failure.
+func (replica *replica) judge(fault float64, now time.Time) {
+	replica.faults = replica.faulty(now)
+	replica.faults += faultWeight * (fault - replica.faults)
+	replica.judged = now
+}
+
+// faulty returns the share of requests that failed lately.
+func (replica *replica) faulty(now time.Time) float64 {
+	if replica.faults == 0 {
+		return 0
+	}
+	left := replica.faults * math.Exp(-float64(now.Sub(replica.judged))/float64(faultLife))
+	if left < forgiven {
+		return 0
+	}
+	return left
+}
+
 // fail counts a failure that was the target's; it rests for longer each time.
 func (replica *replica) fail(now time.Time) {
 	replica.failures++
