Send fewer bytes between entries and agents

Cause: with one reader for all, each change of the list made every other entry fetch the whole configuration and list, and the list changed with each load that a target told. Agents also repeated all that a target holds each second to every entry.

A peer now sends only documents that are newer than the asker's, a list is new only when it names other targets or states, and an agent repeats the holding only to an entry that does not know its last change.

--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -24,9 +24,10 @@
 
 const (
 	reportPeriod   = 100 * time.Millisecond
-	pressingPeriod = 4 * time.Millisecond // while requests wait for an adapter, which takes 5 to 14 ms
-	fullPeriod     = time.Second          // between two messages with all that the target holds, when nothing changes
-	listenerLife   = 3 * time.Second      // entries that have not greeted for that long are told nothing
+	pressingPeriod = 4 * time.Millisecond   // while requests wait for an adapter, which takes 5 to 14 ms
+	fullPeriod     = 10 * time.Second       // between two messages with all that the target holds, when nothing changes
+	fullRepeat     = 300 * time.Millisecond // until an entry that was told of a change says that it knows it
+	listenerLife   = 3 * time.Second        // entries that have not greeted for that long are told nothing
 	startRetry     = 300 * time.Millisecond
 	catalogueRest  = 2 * time.Second        // between two readings of the configuration
 	firstWait      = 3 * time.Second        // of a watch for the first configuration; a connection that went silent shows by then
@@ -108,7 +109,7 @@
 	now := steward.options.Clock.Now()
 	switch message := message.(type) {
 	case *wire.EntryState:
-		steward.greet(from, now)
+		steward.greet(from, message.Holding, now)
 		steward.announced = max(steward.announced, message.Version)
 		for _, used := range message.Used {
 			steward.keeper.Use(used.Model, used.Adapter, now)
@@ -126,13 +127,19 @@
 	full    time.Time // when it was told the holding
 }
 
-func (steward *Steward) greet(from netip.AddrPort, now time.Time) {
+// greet takes note of an entry that wants to hear of the target. One that does
+// not know the last change of the holding, though it was told some time ago, is
+// told again.
+func (steward *Steward) greet(from netip.AddrPort, holding uint64, now time.Time) {
 	known := steward.listeners[from]
 	if known == nil {
 		known = &listener{}
 		steward.listeners[from] = known
 	}
 	known.greeted = now
+	if holding != known.holding && now.Sub(known.full) > fullRepeat {
+		known.holding = 0
+	}
 }
 
 func (steward *Steward) command(from netip.AddrPort, command *wire.Command, now time.Time) {
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -176,7 +175,12 @@
 			follower.mu.Unlock()
 			continue
 		}
-		follower.takeTargets(document, follower.numberOf(document, uint64(at)), begun)
+		listed, skipped, err := follower.source.ParseTargets(document)
+		if err != nil {
+			follower.gateway.log.Warnf("list of targets cannot be read, the one before stays: %v", err)
+			continue
+		}
+		follower.takeTargets(document, listed, skipped, follower.numberOf(listed, uint64(at)), begun)
 	}
 	return nil
 }
@@ -204,24 +208,20 @@
 }
 
 // numberOf returns the number of a list that was read when the platform's
-// history stood at a place: the same list keeps its number.
-func (follower *follower) numberOf(document []byte, at uint64) uint64 {
+// history stood at a place: a list of the same targets keeps its number, whatever
+// they hold, since their agents tell that.
+func (follower *follower) numberOf(listed []*directory.Target, at uint64) uint64 {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	if bytes.Equal(document, follower.list) {
+	if directory.SameTargets(listed, follower.listed) && follower.listing.Number() > 0 {
 		return follower.listing.Number()
 	}
 	return at
 }
 
 // takeTargets takes in a reading of the list, by this entry or by another one.
-func (follower *follower) takeTargets(document []byte, number uint64, at time.Time) {
+func (follower *follower) takeTargets(document []byte, listed []*directory.Target, skipped int, number uint64, at time.Time) {
 	gateway := follower.gateway
-	listed, skipped, err := follower.source.ParseTargets(document)
-	if err != nil {
-		gateway.log.Warnf("list of targets cannot be read, the one before stays: %v", err)
-		return
-	}
 	gateway.metrics.Put("targets.skipped", int64(skipped))
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
@@ -263,14 +263,27 @@
 	return follower.failing.Load() && !follower.gateway.ready()
 }
 
-// snapshot returns the documents in force, for peers.
-func (follower *follower) snapshot() *wire.Snapshot {
+// request asks a peer for what is newer than this entry's documents.
+func (follower *follower) request() *wire.SnapshotRequest {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	return &wire.SnapshotRequest{Version: follower.version.Number(), List: follower.listing.Number()}
+}
+
+// snapshot returns those of the documents in force that are newer than a peer's.
+func (follower *follower) snapshot(request *wire.SnapshotRequest) *wire.Snapshot {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	now := follower.gateway.clock.Now()
-	snapshot := &wire.Snapshot{Config: follower.config, Targets: follower.list, List: follower.listing.Number()}
+	snapshot := &wire.Snapshot{List: follower.listing.Number()}
 	snapshot.VersionAge, _ = follower.version.Age(now)
 	snapshot.ListAge, _ = follower.listing.Age(now)
+	if follower.version.Number() > request.Version {
+		snapshot.Config = follower.config
+	}
+	if follower.listing.Number() > request.List {
+		snapshot.Targets = follower.list
+	}
 	return snapshot
 }
 
@@ -304,9 +317,15 @@
 	follower.mu.Lock()
 	newer := snapshot.List > follower.listing.Number()
 	follower.mu.Unlock()
-	if len(snapshot.Targets) > 0 && newer {
-		follower.takeTargets(snapshot.Targets, snapshot.List, sent.Add(-snapshot.ListAge))
+	if len(snapshot.Targets) == 0 || !newer {
+		return
+	}
+	listed, skipped, err := follower.source.ParseTargets(snapshot.Targets)
+	if err != nil {
+		follower.gateway.log.Warnf("a peer's list of targets cannot be read, the one before stays: %v", err)
+		return
 	}
+	follower.takeTargets(snapshot.Targets, listed, skipped, snapshot.List, sent.Add(-snapshot.ListAge))
 }
 
 // addresses returns the addresses of all targets.
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -202,7 +202,10 @@
 		if err != nil {
 			continue // the list gave an address that is no IP number; its requests fail with a log line
 		}
-		state.Used = state.Used[:0]
+		state.Used, state.Holding = state.Used[:0], 0
+		if heard, known := peers.states[target.Key()]; known {
+			state.Holding = heard.state.Holding
+		}
 		for use := range peers.used[target.Key()] {
 			state.Used = append(state.Used, use)
 		}
--- a/entry/gateway/relaying.go
+++ b/entry/gateway/relaying.go
@@ -61,8 +61,8 @@
 	return group.Wait()
 }
 
-func (relaying *relaying) answer(context.Context, *wire.SnapshotRequest) (*wire.Snapshot, error) {
-	return relaying.gateway.follower.snapshot(), nil
+func (relaying *relaying) answer(_ context.Context, request *wire.SnapshotRequest) (*wire.Snapshot, error) {
+	return relaying.gateway.follower.snapshot(request), nil
 }
 
 // ask asks one peer, another one each time.
@@ -80,7 +80,7 @@
 	defer cancel()
 	sent := gateway.clock.Now()
 	snapshot := &wire.Snapshot{}
-	if err := relaying.links.Invoke(ctx, peer.String(), wire.CallSnapshot, &wire.SnapshotRequest{}, snapshot); err != nil {
+	if err := relaying.links.Invoke(ctx, peer.String(), wire.CallSnapshot, gateway.follower.request(), snapshot); err != nil {
 		gateway.log.Infof("peer %s gave no documents: %v", peer, err)
 		return
 	}
--- a/kernel/directory/directory_test.go
+++ b/kernel/directory/directory_test.go
@@ -119,3 +119,26 @@
 	assert.Equal(t, len(roster.Update(nil, now.Add(earlyLife+time.Second))), 0, "a start that is never listed is not used for good")
 	assert.Assert(t, !roster.Replaced("10.0.0.1", "t0", 0, now), "an older start replaces nothing")
 }
+
+func TestSameTargetsLooksAtAllButWhatTargetsHold(t *testing.T) {
+	spec := TargetSpec{ID: "a", Service: "s", Address: "10.0.0.1:80", DataCentre: "d", Slots: 4, Born: 7, Models: []Resident{{Model: "m"}}}
+	one := []*Target{NewTarget(spec), NewTarget(TargetSpec{ID: "b"})}
+	holding := spec
+	holding.Models = nil
+	assert.Assert(t, SameTargets(one, []*Target{NewTarget(TargetSpec{ID: "b"}), NewTarget(holding)}), "in any order, whatever they hold")
+	assert.Assert(t, !SameTargets(one, one[:1]))
+	changes := []func(spec *TargetSpec){
+		func(spec *TargetSpec) { spec.Draining = true },
+		func(spec *TargetSpec) { spec.Address = "10.0.0.2:80" },
+		func(spec *TargetSpec) { spec.Service = "other" },
+		func(spec *TargetSpec) { spec.Born = 8 },
+		func(spec *TargetSpec) { spec.ID = "c" },
+		func(spec *TargetSpec) { spec.Slots = 5 },
+		func(spec *TargetSpec) { spec.DataCentre = "e" },
+	}
+	for index, change := range changes {
+		other := spec
+		change(&other)
+		assert.Assert(t, !SameTargets(one, []*Target{NewTarget(other), one[1]}), "change %d", index)
+	}
+}
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"reflect"
 	"time"
 )
 
@@ -100,3 +101,28 @@
 	Disk     []string // models with a copy on disk
 	Born     int64    // Unix milliseconds
 }
+
+// SameTargets says whether two lists name the same targets in the same state,
+// whatever these hold.
+func SameTargets(left, right []*Target) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	known := make(map[TargetKey]*Target, len(left))
+	for _, target := range left {
+		known[target.Key()] = target
+	}
+	for _, target := range right {
+		other := known[target.Key()]
+		if other == nil || !other.same(target) {
+			return false
+		}
+	}
+	return true
+}
+
+func (target *Target) same(other *Target) bool {
+	mine, others := target.spec, other.spec
+	mine.Models, others.Models = nil, nil
+	return reflect.DeepEqual(mine, others)
+}
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -34,6 +34,7 @@
 	ListAge     time.Duration // since the list was known to be the newest
 	Entries     []string      // addresses of some entries that were heard lately
 	Pressing    bool          // requests ask for a model that no target holds
+	Holding     uint64        // to an agent: number of the last change of its target's holding that the entry knows
 }
 
 // AdapterUse names an adapter that requests use.
@@ -214,6 +215,7 @@
 	writer.varint(12, uint64(entryState.ListAge))
 	writer.texts(13, entryState.Entries)
 	writer.flag(14, entryState.Pressing)
+	writer.varint(15, entryState.Holding)
 }
 
 func (entryState *EntryState) field(number protowire.Number, value value) {
@@ -249,6 +251,8 @@
 		entryState.Entries = append(entryState.Entries, value.text())
 	case 14:
 		entryState.Pressing = value.flag()
+	case 15:
+		entryState.Holding = value.number
 	}
 }
 
