--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -50,7 +50,7 @@
 			board.replicas[key] = known
 		}
 		known.target, known.gone = target, false
-		if !known.reported {
+		if !known.reported && !known.doubted {
 			known.setModels(target.Models())
 		}
 		board.services[target.Service()] = append(board.services[target.Service()], known)
@@ -195,6 +195,12 @@
 	if replica == nil {
 		return
 	}
+	if !replica.reported {
+		// Only the list speaks of it, which still shows starts that have ended.
+		replica.doubted = true
+		board.setModels(replica, nil)
+		return
+	}
 	if request.Adapter == "" {
 		delete(replica.models, request.Model)
 		board.drop(replica, request.Model)
--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -171,6 +171,25 @@
 	assert.Equal(t, sentTo(t, board.Choose(request(), nil, start)), "a")
 }
 
+// TestEndedStartIsTriedOnceOnly holds that a target that only the list speaks of
+// is trusted in nothing once it has said that it lacks something: the list shows
+// starts for a while after they have ended.
+func TestEndedStartIsTriedOnceOnly(t *testing.T) {
+	board := NewBoard("here")
+	spec := directory.TargetSpec{ID: "a", Service: "llm", DataCentre: "here", Slots: 4, Models: []directory.Resident{{Model: "m"}, {Model: "n"}}}
+	target := directory.NewTarget(spec)
+	board.SetTargets([]*directory.Target{target})
+	other := request()
+	other.Model = "n"
+	_ = sentTo(t, board.Choose(other, nil, start))
+	board.Lacks(target.Key(), request())
+	assert.Assert(t, board.Choose(other, nil, start).Missing())
+	board.SetTargets([]*directory.Target{target})
+	assert.Assert(t, board.Choose(other, nil, start).Missing(), "another reading of the list changes nothing")
+	board.SetReport(target.Key(), directory.Report{At: start, Models: spec.Models})
+	_ = sentTo(t, board.Choose(other, nil, start))
+}
+
 func TestLeavingTargetTakesNothing(t *testing.T) {
 	board, keys := board("a")
 	board.SetReport(keys[0], directory.Report{At: start, Draining: true, Models: []directory.Resident{{Model: "m"}}})
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -47,6 +47,7 @@
 	gone     bool // no longer listed, kept for its flights
 	report   directory.Report
 	reported bool
+	doubted  bool                // what the list says of it was found wrong, and there is no report yet
 	models   map[string][]string // model to adapters
 	flights  map[uint64]*flight
 	rate     float64 // prompt tokens a millisecond
