--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -24,20 +24,20 @@
 	introduceLife  = 3 * time.Second        // entries heard before that may be gone
 	peersPerPeriod = 8                      // entries beyond which messages become rarer in proportion
 	peerLife       = 30 * time.Second       // entries unheard for that long are told nothing
-	adapterRepeat  = 60 * time.Millisecond  // until a wish for an adapter is sent again; it takes 5 to 14 ms
-	adapterPart    = 0.7                    // part of the time left that an adapter may take
 	agentOffset    = 1                      // agents listen on the port after the entries'
 )
 
-// peers are the messages to and from other instances.
+// peers are the messages to and from other instances: what is told to them
+// stands here, what is heard in hearing.go, and commands to agents in
+// commands.go.
 type peers struct {
 	gateway  *Gateway
 	socket   *datagram.Socket
 	next     atomic.Uint64
-	early    chan struct{} // wakes the sender before its time
-	told     uint64        // rounds of messages
-	pressing bool          // requests asked for a model that no target holds since the last round
-	mu       sync.Mutex
+	early    chan struct{}                // wakes the sender before its time
+	mu       sync.Mutex                   // guards what follows
+	told     uint64                       // rounds of messages
+	pressing bool                         // requests asked for a model that no target holds since the last round
 	entries  map[netip.AddrPort]time.Time // other entries and when they were heard
 	waiting  map[uint64]chan *wire.Result
 	used     map[directory.TargetKey]map[wire.AdapterUse]bool
@@ -225,69 +225,6 @@
 	}
 }
 
-func (peers *peers) receive(from netip.AddrPort, message wire.Message) {
-	switch message := message.(type) {
-	case *wire.EntryState:
-		peers.hearEntry(from, message)
-	case *wire.TargetState:
-		peers.hearTarget(from, message)
-	case *wire.Result:
-		peers.mu.Lock()
-		waiting := peers.waiting[message.ID]
-		peers.mu.Unlock()
-		if waiting == nil {
-			return // the answer to a command that is not waited for any more
-		}
-		select {
-		case waiting <- message:
-		default: // a second answer
-		}
-	}
-}
-
-func (peers *peers) hearEntry(from netip.AddrPort, state *wire.EntryState) {
-	gateway := peers.gateway
-	now := gateway.clock.Now()
-	name := from.String()
-	gateway.mu.Lock()
-	if state.Leaving {
-		gateway.allowance.Leave(name)
-	} else {
-		gateway.allowance.Hear(name, state.Incarnation, totalsOf(state.Spent), totalsOf(state.Levels), now)
-	}
-	gateway.mu.Unlock()
-	peers.mu.Lock()
-	defer peers.mu.Unlock()
-	if state.Leaving {
-		delete(peers.entries, from)
-		delete(peers.totals, from)
-		return
-	}
-	if gateway.follower.hear(state) {
-		gateway.relaying.learn(from)
-	}
-	peers.entries[from] = now
-	for _, address := range state.Entries {
-		peers.meet(address)
-	}
-	wanted := totalsOf(state.Wanted)
-	before, known := peers.totals[from]
-	same := known && before.incarnation == state.Incarnation
-	for model, total := range wanted {
-		// What was asked before the first message with figures is long past.
-		if delta := total - before.wanted[model]; same && len(before.wanted) > 0 && delta > 0 {
-			gateway.planner.asked(model, delta, now)
-		}
-	}
-	if state.Pressing {
-		gateway.planner.wake()
-	}
-	if len(wanted) == 0 && same {
-		wanted = before.wanted
-	}
-	peers.totals[from] = peerTotals{incarnation: state.Incarnation, wanted: wanted, planFence: state.PlanFence, at: now}
-}
-
 func listTotals(values map[string]float64) []wire.Total {
 	totals := make([]wire.Total, 0, len(values))
 	for name, value := range values {
@@ -328,78 +265,6 @@
 	return fence
 }
 
-// hearTarget takes in an agent's message.
-func (peers *peers) hearTarget(from netip.AddrPort, state *wire.TargetState) {
-	gateway := peers.gateway
-	now := gateway.clock.Now()
-	key := directory.TargetKey{ID: state.Target, Born: state.Born}
-	peers.mu.Lock()
-	before, known := peers.states[key]
-	if known && before.state.Number > state.Number && now.Sub(before.at) < reorderWindow {
-		peers.mu.Unlock()
-		return // overtaken on the way
-	}
-	if !state.Full {
-		if !known || before.state.Holding != state.Holding {
-			peers.mu.Unlock()
-			return // the holding that it speaks of has not come yet, and is sent again
-		}
-		state.TakeHolding(before.state)
-	}
-	peers.states[key] = heard{state: state, at: now}
-	for other, one := range peers.states {
-		if now.Sub(one.at) > stateLife {
-			delete(peers.states, other)
-		}
-	}
-	for _, entry := range state.Entries {
-		peers.meet(entry)
-	}
-	loading := peers.loading(now)
-	peers.mu.Unlock()
-	if !known {
-		gateway.follower.replaced(from.Addr().String(), state.Target, state.Born)
-	}
-	gateway.mu.Lock()
-	gateway.board.SetReport(key, reportOf(state, now))
-	gateway.board.SetLoading(loading)
-	gateway.mu.Unlock()
-	gateway.changed.raise()
-}
-
-const (
-	reorderWindow = time.Second      // an agent that starts anew counts from the start again
-	stateLife     = 10 * time.Second // of an agent's last message
-)
-
-// loading returns until when models are being loaded; the caller holds the lock.
-func (peers *peers) loading(now time.Time) map[string]time.Time {
-	loading := map[string]time.Time{}
-	for _, heard := range peers.states {
-		model := heard.state.Loading
-		if model == "" || now.Sub(heard.at) > time.Second {
-			continue
-		}
-		ends := heard.at.Add(heard.state.BusyFor)
-		if known, ok := loading[model]; !ok || ends.Before(known) {
-			loading[model] = ends
-		}
-	}
-	return loading
-}
-
-func reportOf(state *wire.TargetState, now time.Time) directory.Report {
-	report := directory.Report{
-		At: now, Waiting: state.Waiting, Running: state.Running, Starting: state.Starting, Busy: state.Busy,
-		BusyFor: state.BusyFor, Draining: state.Draining, Leaves: state.Leaves, Sequence: state.Sequence, UsedKV: state.UsedKV,
-		TotalKV: state.TotalKV, Pending: state.Pending, Host: state.Host, Disk: state.Disk, Born: state.Born,
-	}
-	for _, resident := range state.Models {
-		report.Models = append(report.Models, directory.Resident{Model: resident.Model, Adapters: resident.Adapters})
-	}
-	return report
-}
-
 // use notes that a request uses an adapter, which keeps it resident.
 func (peers *peers) use(key directory.TargetKey, request *dispatch.Request) {
 	if request.Adapter == "" {
@@ -437,61 +302,3 @@
 	peers.gateway.planner.wake()
 	peers.hurry()
 }
-
-// command sends a command every period until it is answered or ctx ends, and
-// returns whether it was carried out.
-func (peers *peers) command(ctx context.Context, to netip.AddrPort, period time.Duration, command *wire.Command) (done bool, reason string) {
-	command.ID = peers.next.Add(1) ^ peers.gateway.options.Incarnation
-	answers := make(chan *wire.Result, 1)
-	peers.mu.Lock()
-	socket := peers.socket
-	peers.waiting[command.ID] = answers
-	peers.mu.Unlock()
-	defer func() {
-		peers.mu.Lock()
-		defer peers.mu.Unlock()
-		delete(peers.waiting, command.ID)
-	}()
-	if socket == nil {
-		return false, "the instance is starting"
-	}
-	for {
-		peers.send(to, command)
-		select {
-		case answer := <-answers:
-			return answer.Done, answer.Reason
-		case <-peers.gateway.clock.After(period):
-		case <-ctx.Done():
-			return false, "no answer came in time"
-		}
-	}
-}
-
-// fetch has a target load the adapter that a request needs, and waits for it.
-func (gateway *Gateway) fetch(visit *visit, target *directory.Target) bool {
-	address, err := gateway.peers.agent(target)
-	if err != nil {
-		gateway.log.Warnf("agent of target %s has no address: %v", target.ID(), err)
-		return false
-	}
-	now := gateway.clock.Now()
-	gateway.mu.Lock()
-	gateway.board.Fetching(target.Key(), &visit.wanted, now)
-	gateway.mu.Unlock()
-	patience := time.Duration(float64(visit.wanted.Begin.Sub(now)) * adapterPart)
-	ctx, cancel := context.WithTimeout(visit.ctx, patience)
-	defer cancel()
-	defer context.AfterFunc(gateway.late, cancel)()
-	done, reason := gateway.peers.command(ctx, address, adapterRepeat, &wire.Command{
-		Target: target.ID(), Load: visit.wanted.Model, Adapter: visit.wanted.Adapter, Latest: patience,
-	})
-	gateway.metrics.Observe("adapters.fetch", gateway.clock.Now().Sub(now))
-	if !done {
-		gateway.log.Infof("request %q: target %s did not load adapter %s of model %s within %v: %s", visit.inquiry.ID, target.ID(),
-			visit.wanted.Adapter, visit.wanted.Model, gateway.clock.Now().Sub(now), reason)
-	}
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
-	gateway.board.Fetched(target.Key(), &visit.wanted, done)
-	return done
-}
