Keep one copy of what stood twice

A list of targets that cannot be parsed was read again at once; it now counts as a failed reading.

Ruled out: one codec for messages of alike fields, since codecs map by hand.

program.Serve is shared with the platform's programs. Before, a repeated SIGTERM ended the product's planned stop and did not end that of the platform's; now only an interrupt does, in both.

--- a/endiverill/internal/promise/operator_test.go
+++ b/endiverill/internal/promise/operator_test.go
@@ -21,6 +21,17 @@
 	return rendered
 }
 
+// granted says whether the key is granted by the configuration in force.
+func granted(t *testing.T, applier config.Applier) bool {
+	t.Helper()
+	_, rendered, _, err := applier.Current(context.Background())
+	assert.NilError(t, err)
+	document, err := config.Parse(1, rendered)
+	assert.NilError(t, err)
+	_, granted := document.KeyBySecret("secret")
+	return granted
+}
+
 // Applying a file from before a withdrawal must not bring the key back.
 func TestPromiseWithdrawnKeyStaysWithdrawn(t *testing.T) {
 	ctx := context.Background()
@@ -33,21 +44,11 @@
 	for _, again := range [][]byte{old, documentWith(t, `{"keys":null}`), documentWith(t, `{"keys":{"k":{"withdrawn":false}},"models":{"m":null}}`)} {
 		_, err = applier.Apply(ctx, again, config.AnyGeneration)
 		assert.NilError(t, err)
-		_, rendered, _, err := applier.Current(ctx)
-		assert.NilError(t, err)
-		document, err := config.Parse(1, rendered)
-		assert.NilError(t, err)
-		_, granted := document.KeyBySecret("secret")
-		assert.Assert(t, !granted, "the withdrawn key is granted again")
+		assert.Assert(t, !granted(t, applier), "the withdrawn key is granted again")
 	}
 	_, err = applier.Rollback(ctx, 1)
 	assert.NilError(t, err)
-	_, rendered, _, err := applier.Current(ctx)
-	assert.NilError(t, err)
-	document, err := config.Parse(1, rendered)
-	assert.NilError(t, err)
-	_, granted := document.KeyBySecret("secret")
-	assert.Assert(t, !granted, "a rollback brought the withdrawn key back")
+	assert.Assert(t, !granted(t, applier), "a rollback brought the withdrawn key back")
 }
 
 // Of racing operators one wins each generation; the others learn why they lost.
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -108,16 +108,10 @@
 		WriteTimeout:          values.Duration("entry.write_timeout"),
 		IdleTimeout:           values.Duration("entry.idle_timeout"),
 		CloseOnShutdown:       true,
-		Logger:                quiet{},
+		Logger:                logs.Silent{},
 	}
 }
 
-// quiet drops the HTTP library's own log lines; faults of callers are counted.
-type quiet struct{}
-
-// Printf drops the line.
-func (quiet quiet) Printf(string, ...any) {}
-
 // configPeers are the entries that hold shares, and the settings'.
 func (entry *Entry) configPeers() []string {
 	peers := append([]string(nil), entry.Values().Strings("peers")...)
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -168,6 +168,11 @@
 		}
 		begun := follower.gateway.clock.Now()
 		document, at, err := follower.source.Targets(ctx)
+		var listed []*directory.Target
+		skipped := 0
+		if err == nil {
+			listed, skipped, err = follower.source.ParseTargets(document)
+		}
 		follower.reached("list of targets", follower.listing, &healthy, err)
 		if err != nil {
 			follower.mu.Lock()
@@ -175,11 +180,6 @@
 			follower.mu.Unlock()
 			continue
 		}
-		listed, skipped, err := follower.source.ParseTargets(document)
-		if err != nil {
-			follower.gateway.log.Warnf("list of targets cannot be read, the one before stays: %v", err)
-			continue
-		}
 		follower.takeTargets(document, listed, skipped, follower.numberOf(listed, uint64(at)), begun)
 	}
 	return nil
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -121,19 +121,12 @@
 		ReadBufferSize:               headerBytes,
 		MaxRequestBodySize:           bodyBytes,
 		CloseOnShutdown:              true,
-		Logger:                       quietLogger{},
+		Logger:                       logs.Silent{},
 		DisablePreParseMultipartForm: true,
 	}
 	return gateway
 }
 
-// quietLogger drops the HTTP library's lines on broken connections, which are
-// the callers' affair and counted by the gateway.
-type quietLogger struct{}
-
-// Printf does nothing.
-func (quietLogger quietLogger) Printf(string, ...any) {}
-
 // limits returns the limits in force.
 func (gateway *Gateway) limits() directory.Limits {
 	current := gateway.current.Load()
@@ -202,7 +195,7 @@
 func (gateway *Gateway) serveReady(ctx context.Context, listener net.Listener) error {
 	server := &fasthttp.Server{
 		NoDefaultServerHeader: true,
-		Logger:                quietLogger{},
+		Logger:                logs.Silent{},
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch {
 			case string(ctx.Path()) != gateway.dialect.ReadyPath():
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiverill.example/kernel/directory"
 )
 
@@ -75,13 +76,13 @@
 // choice is a target that was weighed.
 type choice struct {
 	replica *replica
-	cost    time.Duration // what speaks against it
+	cost    time.Duration // wait and penalties; the lowest is chosen
 	wait    time.Duration // until the first event
 	own     time.Duration // of it, for the request's own prompt
 	fetch   bool          // the adapter has to be loaded first
 }
 
-// weigh returns what speaks against a target.
+// weigh estimates a request's wait at a target and adds the penalties.
 func (board *Board) weigh(replica *replica, request *Request, home bool, now time.Time) choice {
 	choice := choice{replica: replica, wait: replica.wait(request, now), own: replica.reading(request)}
 	if !replica.holdsAdapter(request.Model, request.Adapter) {
@@ -130,12 +131,8 @@
 	return home
 }
 
-func weight(parts ...string) uint64 {
-	hash := fnv.New64a()
-	for _, part := range parts {
-		_, _ = hash.Write([]byte(part)) // a hash never fails to write
-	}
-	return hash.Sum64()
+func weight(target, model, adapter string) uint64 {
+	return xxhash.Sum64String(target + "/" + model + "/" + adapter)
 }
 
 // absent decides on a request whose model no target holds. The planner has it
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -23,7 +23,7 @@
 	faultWeight    = 0.2                     // of the newest outcome in the share of failures
 	faultLife      = 5 * time.Second         // time constant with which old failures are forgiven, so that a target is tried again
 	forgiven       = 0.05                    // share of failures below which a target counts as sound; one in twenty is usual for some services
-	faultCost      = time.Second             // speaks against a target that fails all; callers whose request is lost come back or give up
+	faultCost      = time.Second             // added to the wait of a target that fails every request; about what a caller loses by coming back
 	declinedFault  = 0.5                     // part of a failure that an answer "not run" is; the request can go elsewhere
 	silence        = 400 * time.Millisecond  // four periods of an agent's reports
 	standstill     = 1500 * time.Millisecond // a target silent for that long is given up; callers of streams leave after 2 s or more
--- a/kernel/instance/instance.go
+++ b/kernel/instance/instance.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
@@ -62,7 +61,7 @@
 	count := func(purpose string) { metrics.Add("store."+purpose, 1) }
 	instance := &Instance{
 		name: name, role: role, born: clock.Now(), values: values, clock: clock, root: root,
-		incarnation: xxhash.Sum64String(uuid.NewString()) | 1,
+		incarnation: NewIncarnation(),
 		metrics:     metrics,
 		store:       open(values.String("store.address"), count),
 		links:       link.NewPool(func(call string, bytes int) { metrics.Add("bytes."+call, int64(bytes)) }),
--- a/kernel/program/program.go
+++ b/kernel/program/program.go
@@ -90,18 +90,23 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, runner)
+	return Serve(ctx, runner)
 }
 
-// serve runs until the first signal, then stops as planned; a second signal
-// ends the wait.
-func serve(ctx context.Context, runner Runner) error {
+// Serve runs a runner, and others beside it, until the first signal, then stops
+// the runner as planned. An interrupt during the stop ends the wait; a repeated
+// SIGTERM does not, since supervisors repeat it.
+func Serve(ctx context.Context, runner Runner, beside ...func(ctx context.Context) error) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
+	for _, run := range beside {
+		group.Go(func() error { return run(ctx) })
+	}
 	group.Go(func() error {
 		defer cancel()
 		select {
@@ -111,14 +116,22 @@
 		}
 		stopping, abort := context.WithCancel(ctx)
 		defer abort()
-		go func() {
-			select {
-			case <-signals:
-				abort()
-			case <-stopping.Done():
-			}
-		}()
+		go abortOnInterrupt(stopping, signals, abort)
 		return runner.Stop(stopping)
 	})
 	return group.Wait()
 }
+
+func abortOnInterrupt(ctx context.Context, signals <-chan os.Signal, abort context.CancelFunc) {
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGINT {
+				abort()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -210,9 +210,9 @@
 		writer.message(8, &entryState.Used[index])
 	}
 	writer.varint(9, entryState.PlanFence)
-	writer.varint(10, uint64(entryState.VersionAge))
+	writer.duration(10, entryState.VersionAge)
 	writer.varint(11, entryState.List)
-	writer.varint(12, uint64(entryState.ListAge))
+	writer.duration(12, entryState.ListAge)
 	writer.texts(13, entryState.Entries)
 	writer.flag(14, entryState.Pressing)
 	writer.varint(15, entryState.Holding)
@@ -242,11 +242,11 @@
 	case 9:
 		entryState.PlanFence = value.number
 	case 10:
-		entryState.VersionAge = time.Duration(value.number)
+		entryState.VersionAge = value.duration()
 	case 11:
 		entryState.List = value.number
 	case 12:
-		entryState.ListAge = time.Duration(value.number)
+		entryState.ListAge = value.duration()
 	case 13:
 		entryState.Entries = append(entryState.Entries, value.text())
 	case 14:
--- a/kernel/wire/snapshot.go
+++ b/kernel/wire/snapshot.go
@@ -41,9 +41,9 @@
 func (snapshot *Snapshot) appendTo(writer *writer) {
 	writer.bytes(1, snapshot.Config)
 	writer.bytes(2, snapshot.Targets)
-	writer.varint(3, uint64(snapshot.VersionAge))
+	writer.duration(3, snapshot.VersionAge)
 	writer.varint(4, snapshot.List)
-	writer.varint(5, uint64(snapshot.ListAge))
+	writer.duration(5, snapshot.ListAge)
 }
 
 func (snapshot *Snapshot) field(number protowire.Number, value value) {
@@ -53,10 +53,10 @@
 	case 2:
 		snapshot.Targets = value.copied()
 	case 3:
-		snapshot.VersionAge = time.Duration(value.number)
+		snapshot.VersionAge = value.duration()
 	case 4:
 		snapshot.List = value.number
 	case 5:
-		snapshot.ListAge = time.Duration(value.number)
+		snapshot.ListAge = value.duration()
 	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"endiverill.example/standin/quiet"
+	"endiverill.example/kernel/logs"
 
 	"endiverill.example/standin/weight"
 )
@@ -152,6 +152,6 @@
 
 // Serve answers on listener until it is closed.
 func (engine *Engine) Serve(listener net.Listener) error {
-	engine.server = &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true, Logger: quiet.Logger{}, IdleTimeout: time.Minute}
+	engine.server = &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}, IdleTimeout: time.Minute}
 	return engine.server.Serve(listener)
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"endiverill.example/standin/quiet"
+	"endiverill.example/kernel/logs"
 )
 
 // Faults are the ways in which the service can fail.
@@ -74,7 +74,7 @@
 
 // Serve answers on listener until it is closed.
 func (service *Service) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{Handler: service.handle, NoDefaultServerHeader: true, Logger: quiet.Logger{}}
+	server := &fasthttp.Server{Handler: service.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}}
 	return server.Serve(listener)
 }
 
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"endiverill.example/standin/quiet"
+	"endiverill.example/kernel/logs"
 
 	"endiverill.example/kernel/object"
 )
@@ -20,7 +20,7 @@
 // Serve answers the object API on listener until it is closed. POST /faults
 // with a JSON Faults switches the faults.
 func (store *Store) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{Handler: store.handle, NoDefaultServerHeader: true, Logger: quiet.Logger{}, MaxRequestBodySize: 2 * MaxValueBytes}
+	server := &fasthttp.Server{Handler: store.handle, NoDefaultServerHeader: true, Logger: logs.Silent{}, MaxRequestBodySize: 2 * MaxValueBytes}
 	return server.Serve(listener)
 }
 
