--- a/agent/steward/steward.go
+++ b/agent/steward/steward.go
@@ -23,16 +23,16 @@
 )
 
 const (
-	reportPeriod   = 100 * time.Millisecond
-	pressingPeriod = 4 * time.Millisecond   // while requests wait for an adapter, which takes 5 to 14 ms
-	fullPeriod     = 10 * time.Second       // between two messages with all that the target holds, when nothing changes
-	fullRepeat     = 300 * time.Millisecond // until an entry that was told of a change says that it knows it
-	listenerLife   = 3 * time.Second        // entries that have not greeted for that long are told nothing
-	startRetry     = 300 * time.Millisecond
-	catalogueRest  = 2 * time.Second        // between two readings of the configuration
-	firstWait      = 3 * time.Second        // of a watch for the first configuration; a connection that went silent shows by then
-	usualUnload    = 500 * time.Millisecond // an unload waits for the model's requests
-	loadWindow     = 8 * time.Second        // over which loads from the weight store are told
+	reportPeriod  = 100 * time.Millisecond
+	urgentPeriod  = 4 * time.Millisecond   // while requests wait for an adapter, which takes 5 to 14 ms
+	fullPeriod    = 10 * time.Second       // between two messages with all that the target holds, when nothing changes
+	fullRepeat    = 300 * time.Millisecond // until an entry that was told of a change says that it knows it
+	listenerLife  = 3 * time.Second        // entries that have not subscribed for that long are sent nothing
+	startRetry    = 300 * time.Millisecond
+	catalogueRest = 2 * time.Second        // between two readings of the configuration
+	firstWait     = 3 * time.Second        // of a watch for the first configuration; a connection that went silent shows by then
+	usualUnload   = 500 * time.Millisecond // an unload waits for the model's requests
+	loadWindow    = 8 * time.Second        // over which loads from the weight store are told
 )
 
 // Options are what a steward needs.
@@ -50,31 +50,31 @@
 
 // Steward is one agent.
 type Steward struct {
-	options   Options
-	log       *logs.Logger
-	control   *loop.Loop
-	socket    *datagram.Socket
-	keeper    *holding.Keeper
-	listeners map[netip.AddrPort]*listener
-	target    string // ID of the target's present start
-	born      int64
-	fence     uint64 // 0 while none is known, so that no order may be given
-	version   uint64 // of the configuration that the catalogue is from
-	announced uint64 // newest version that entries have told
-	number    uint64 // of messages
-	holding   uint64 // of changes of what the target holds
-	report    directory.Report
-	reported  bool
-	asking    bool
-	recalled  bool      // used by followCatalogue alone
-	told      time.Time // when entries were told last
+	options    Options
+	log        *logs.Logger
+	control    *loop.Loop
+	socket     *datagram.Socket
+	controller *holding.Controller
+	listeners  map[netip.AddrPort]*listener
+	target     string // ID of the target's present start
+	born       int64
+	fence      uint64 // 0 while none is known, so that no order may be given
+	version    uint64 // of the configuration that the catalogue is from
+	announced  uint64 // newest version that entries have told
+	number     uint64 // of messages
+	holding    uint64 // of changes of what the target holds
+	report     directory.Report
+	reported   bool
+	asking     bool
+	recalled   bool      // used by followCatalogue alone
+	told       time.Time // when entries were told last
 }
 
 // New returns a steward that does nothing yet.
 func New(options Options) *Steward {
 	return &Steward{
 		options: options, log: options.Logs.Part("agent", options.Name), control: loop.New(),
-		keeper: holding.New(), listeners: map[netip.AddrPort]*listener{},
+		controller: holding.New(), listeners: map[netip.AddrPort]*listener{},
 	}
 }
 
@@ -109,10 +109,10 @@
 	now := steward.options.Clock.Now()
 	switch message := message.(type) {
 	case *wire.EntryState:
-		steward.greet(from, message.Holding, now)
+		steward.subscribe(from, message.Holding, now)
 		steward.announced = max(steward.announced, message.Version)
 		for _, used := range message.Used {
-			steward.keeper.Use(used.Model, used.Adapter, now)
+			steward.controller.Use(used.Model, used.Adapter, now)
 		}
 	case *wire.Command:
 		steward.command(from, message, now)
@@ -120,23 +120,23 @@
 	steward.advance(ctx)
 }
 
-// listener is an entry that wants to hear of the target.
+// listener is an entry that wants the target's state.
 type listener struct {
-	greeted time.Time
-	holding uint64    // last change of the holding that it was told
-	full    time.Time // when it was told the holding
+	subscribed time.Time
+	holding    uint64    // last change of the holding that it was told
+	full       time.Time // when it was told the holding
 }
 
-// greet takes note of an entry that wants to hear of the target. One that does
-// not know the last change of the holding, though it was told some time ago, is
-// told again.
-func (steward *Steward) greet(from netip.AddrPort, holding uint64, now time.Time) {
+// subscribe records an entry that wants the target's state. One that does not
+// know the last change of the holding, though it was sent some time ago, is sent
+// it again.
+func (steward *Steward) subscribe(from netip.AddrPort, holding uint64, now time.Time) {
 	known := steward.listeners[from]
 	if known == nil {
 		known = &listener{}
 		steward.listeners[from] = known
 	}
-	known.greeted = now
+	known.subscribed = now
 	if holding != known.holding && now.Sub(known.full) > fullRepeat {
 		known.holding = 0
 	}
@@ -154,10 +154,10 @@
 	}
 	latest := now.Add(command.Latest)
 	if command.Adapter != "" {
-		steward.keeper.Want(command.ID, sender, command.Load, command.Adapter, latest, now)
+		steward.controller.Want(command.ID, sender, command.Load, command.Adapter, latest, now)
 		return
 	}
-	taken := steward.keeper.Command(holding.Plan{
+	taken := steward.controller.Command(holding.Plan{
 		ID: command.ID, From: sender, Fence: command.Fence, Unload: command.Unload, Load: command.Load, Latest: latest,
 	}, now)
 	if taken {
@@ -176,7 +176,7 @@
 
 // advance sends the answers that are due and gives the next order.
 func (steward *Steward) advance(ctx context.Context) {
-	for _, result := range steward.keeper.Results() {
+	for _, result := range steward.controller.Results() {
 		to, err := netip.ParseAddrPort(result.To)
 		if err != nil {
 			steward.log.Warnf("answer for %q has no address: %v", result.To, err)
@@ -187,7 +187,7 @@
 	if steward.fence == 0 || steward.target == "" {
 		return
 	}
-	order, ok := steward.keeper.Next(steward.options.Clock.Now())
+	order, ok := steward.controller.Next(steward.options.Clock.Now())
 	if !ok {
 		return
 	}
@@ -205,7 +205,7 @@
 	}
 	steward.log.Infof("order load %v model %q adapter %q sequence %d fence %d: %s",
 		order.Load, order.Model, order.Adapter, order.Sequence, order.Fence, outcome)
-	steward.keeper.Answered(order, outcome, steward.options.Clock.Now())
+	steward.controller.Answered(order, outcome, steward.options.Clock.Now())
 	steward.ask(ctx)
 }
 
@@ -256,7 +256,7 @@
 	}
 	steward.version = parsed.Version()
 	if service := parsed.Service(steward.options.Service); service != nil {
-		steward.keeper.SetService(service)
+		steward.controller.SetService(service)
 	}
 }
 
@@ -278,7 +278,7 @@
 			earlier := target.Born() < steward.born && target.ID() != steward.target
 			if target.Address() == steward.options.Target && earlier && len(target.Models()) > 0 {
 				steward.log.Infof("target held %d models at its earlier start %s", len(target.Models()), target.ID())
-				steward.keeper.Restore(target.Models())
+				steward.controller.Restore(target.Models())
 			}
 		}
 		steward.advance(ctx)
@@ -297,8 +297,8 @@
 	for ctx.Err() == nil {
 		period := reportPeriod
 		steward.control.Do(func() {
-			if steward.keeper.Pressing() {
-				period = pressingPeriod
+			if steward.controller.Urgent() {
+				period = urgentPeriod
 			}
 			steward.ask(ctx)
 		})
@@ -341,7 +341,7 @@
 			steward.log.Warnf("lost the target: %v", err)
 		}
 		steward.reported = false
-		steward.keeper.Lost()
+		steward.controller.Lost()
 		return
 	}
 	if id != "" {
@@ -355,7 +355,7 @@
 		report.Sequence != steward.report.Sequence || !reflect.DeepEqual(report.Models, steward.report.Models) ||
 		!slices.Equal(report.Pending, steward.report.Pending)
 	steward.report, steward.reported = report, true
-	steward.keeper.Reported(report)
+	steward.controller.Reported(report)
 	if changed {
 		steward.holding++
 	}
@@ -364,7 +364,7 @@
 	}
 }
 
-// tell sends the target's state to the entries that greeted lately.
+// tell sends the target's state to the subscribed entries.
 func (steward *Steward) tell() {
 	if !steward.reported || steward.target == "" {
 		return
@@ -374,7 +374,7 @@
 	steward.number++
 	state := steward.state(now)
 	for listener, entry := range steward.listeners {
-		if now.Sub(entry.greeted) > listenerLife {
+		if now.Sub(entry.subscribed) > listenerLife {
 			delete(steward.listeners, listener)
 			continue
 		}
@@ -397,16 +397,16 @@
 		Target: steward.target, Born: steward.born, Number: steward.number, Running: report.Running, Waiting: report.Waiting,
 		Starting: report.Starting, Busy: report.Busy, Draining: report.Draining, Leaves: report.Leaves,
 		Sequence: report.Sequence, UsedKV: report.UsedKV, TotalKV: report.TotalKV, Pending: report.Pending,
-		Host: report.Host, Disk: report.Disk, Able: steward.fence != 0, PlanFence: steward.keeper.Fence(),
+		Host: report.Host, Disk: report.Disk, Able: steward.fence != 0, PlanFence: steward.controller.Fence(),
 		Full: true, Holding: steward.holding,
 	}
-	for _, resident := range steward.keeper.Models() {
+	for _, resident := range steward.controller.Models() {
 		state.Models = append(state.Models, wire.ResidentState{Model: resident.Model, Adapters: resident.Adapters})
 	}
-	for _, load := range steward.keeper.StoreLoads(loadWindow, now) {
+	for _, load := range steward.controller.StoreLoads(loadWindow, now) {
 		state.Begun = append(state.Begun, wire.Total{Name: load.Model, Value: now.Sub(load.At).Seconds()})
 	}
-	if model, ends := steward.keeper.Loading(); model != "" {
+	if model, ends := steward.controller.Loading(); model != "" {
 		state.Loading, state.BusyFor = model, max(ends.Sub(now), 0)
 	} else if report.Busy {
 		state.BusyFor = usualUnload
--- a/agent/steward/steward_test.go
+++ b/agent/steward/steward_test.go
@@ -53,7 +53,7 @@
 	return nil, 0, errAway
 }
 
-// listenerUnderTest is an entry that greets an agent.
+// listenerUnderTest is an entry that subscribes to an agent.
 type listenerUnderTest struct {
 	t      *testing.T
 	socket *datagram.Socket
@@ -69,7 +69,7 @@
 	return conn.LocalAddr().String()
 }
 
-// startAgent runs an agent and an entry that has not greeted it yet.
+// startAgent runs an agent and an entry that has not subscribed to it yet.
 func startAgent(t *testing.T) *listenerUnderTest {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,8 +100,8 @@
 	return listener
 }
 
-// greet tells the agent which change of the holding the entry knows.
-func (listenerUnderTest *listenerUnderTest) greet(holding uint64) {
+// subscribe tells the agent which change of the holding the entry knows.
+func (listenerUnderTest *listenerUnderTest) subscribe(holding uint64) {
 	assert.NilError(listenerUnderTest.t, listenerUnderTest.socket.Send(listenerUnderTest.agent, &wire.EntryState{Name: "e", Holding: holding}))
 }
 
@@ -126,15 +126,15 @@
 	listener := startAgent(t)
 	var first *wire.TargetState
 	for range 50 {
-		listener.greet(0)
+		listener.subscribe(0)
 		if first = listener.full(50 * time.Millisecond); first != nil {
 			break
 		}
 	}
 	assert.Assert(t, first != nil && first.Models[0].Model == "m" && first.Holding > 0)
-	listener.greet(first.Holding)
+	listener.subscribe(first.Holding)
 	assert.Assert(t, listener.full(5*reportPeriod) == nil, "the entry knows it")
-	listener.greet(0)
+	listener.subscribe(0)
 	again := listener.full(5 * reportPeriod)
 	assert.Assert(t, again != nil && again.Holding == first.Holding, "the entry has not heard it, or has started anew")
 }
--- a/endiverill/internal/command/explain.go
+++ b/endiverill/internal/command/explain.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
-	"endiverill.example/endiverill/internal/story"
+	"endiverill.example/endiverill/internal/trace"
 )
 
 func explainVerb() *cli.Command {
@@ -66,9 +66,9 @@
 	return nil
 }
 
-// explainByLogs prints the story of a request.
+// explainByLogs prints the trace of a request.
 func explainByLogs(out io.Writer, logs []string, id string) error {
-	var lines []story.Line
+	var lines []trace.Line
 	for _, path := range logs {
 		read, err := readLog(path)
 		if err != nil {
@@ -76,17 +76,17 @@
 		}
 		lines = append(lines, read...)
 	}
-	found := story.Find(lines, id)
+	found := trace.Find(lines, id)
 	if found == nil {
 		return errors.Newf("none of %d lines names request %q", len(lines), id)
 	}
-	printStory(out, found)
+	printTrace(out, found)
 	return nil
 }
 
-func readLog(path string) ([]story.Line, error) {
+func readLog(path string) ([]trace.Line, error) {
 	if path == "-" {
-		lines, _, err := story.Read(os.Stdin)
+		lines, _, err := trace.Read(os.Stdin)
 		return lines, err
 	}
 	file, err := os.Open(path)
@@ -94,15 +94,15 @@
 		return nil, errors.Wrap(err, "log")
 	}
 	defer func() { _ = file.Close() }() // it was only read
-	lines, skipped, err := story.Read(file)
+	lines, skipped, err := trace.Read(file)
 	if err == nil && len(lines) == 0 {
 		err = errors.Newf("%s holds no line of the system's, %d others", path, skipped)
 	}
 	return lines, err
 }
 
-// printStory writes each line with its distance from the request's first one.
-func printStory(out io.Writer, found *story.Story) {
+// printTrace writes each line with its distance from the request's first one.
+func printTrace(out io.Writer, found *trace.Trace) {
 	var origin time.Time
 	for index, line := range found.Lines() {
 		if found.Own(index) {
--- a/endiverill/internal/story/line.go
+++ b/endiverill/internal/trace/line.go
@@ -1,7 +1,7 @@
-// Package story finds what the logs of several processes say of one request:
+// Package trace finds what the logs of several processes say of one request:
 // its own lines, and those on the configuration, the targets and the models
 // that decided it.
-package story
+package trace
 
 import (
 	"bufio"
--- a/endiverill/internal/story/story.go
+++ b/endiverill/internal/trace/trace.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"regexp"
@@ -18,27 +18,27 @@
 	mostContext = 40
 )
 
-// Story is what the logs say of one request, in the order of time.
-type Story struct {
+// Trace is what the logs say of one request, in the order of time.
+type Trace struct {
 	lines []Line
 	own   map[int]bool
 }
 
 // Lines returns all lines.
-func (story *Story) Lines() []Line { return story.lines }
+func (trace *Trace) Lines() []Line { return trace.lines }
 
 // Own says whether a line is the request's own and not one on what decided it.
-func (story *Story) Own(index int) bool { return story.own[index] }
+func (trace *Trace) Own(index int) bool { return trace.own[index] }
 
-// Find returns the story of the request with an ID, nil when no line names it.
-func Find(lines []Line, id string) *Story {
+// Find returns the trace of the request with an ID, nil when no line names it.
+func Find(lines []Line, id string) *Trace {
 	sorted := append([]Line(nil), lines...)
 	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].at.Before(sorted[j].at) })
 	search := newSearch(sorted, id)
 	if len(search.own) == 0 {
 		return nil
 	}
-	return search.story()
+	return search.trace()
 }
 
 // search holds what the request's own lines name.
@@ -83,8 +83,8 @@
 	return search
 }
 
-// matters says whether a line speaks of what decided the request: of its targets
-// and its model, or of what its entry knew of the platform.
+// matters says whether a line concerns what decided the request: its targets and
+// its model, or what its entry knew of the platform.
 func (search *search) matters(line Line) bool {
 	if otherID.MatchString(line.message) {
 		return false // another request's
@@ -125,7 +125,7 @@
 	return ""
 }
 
-func (search *search) story() *Story {
+func (search *search) trace() *Trace {
 	chosen := map[int]bool{}
 	latest := map[string]int{} // instance and kind of knowledge to line
 	var context []int
@@ -146,12 +146,12 @@
 	for _, index := range latest {
 		chosen[index] = true
 	}
-	story := &Story{own: map[int]bool{}}
+	trace := &Trace{own: map[int]bool{}}
 	for index, line := range search.lines {
 		if chosen[index] {
-			story.own[len(story.lines)] = search.own[index]
-			story.lines = append(story.lines, line)
+			trace.own[len(trace.lines)] = search.own[index]
+			trace.lines = append(trace.lines, line)
 		}
 	}
-	return story
+	return trace
 }
--- a/endiverill/internal/story/story_test.go
+++ b/endiverill/internal/trace/trace_test.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"fmt"
@@ -30,11 +30,11 @@
 	return lines
 }
 
-func messages(story *Story) []string {
+func messages(trace *Trace) []string {
 	var messages []string
-	for index, line := range story.Lines() {
+	for index, line := range trace.Lines() {
 		mark := ""
-		if story.Own(index) {
+		if trace.Own(index) {
 			mark = "*"
 		}
 		messages = append(messages, mark+strings.TrimPrefix(strings.TrimPrefix(line.Message(), "gateway: "), "agent: ")[:20])
@@ -54,7 +54,7 @@
 	})
 }
 
-func TestUnknownRequestHasNoStory(t *testing.T) {
+func TestUnknownRequestHasNoTrace(t *testing.T) {
 	assert.Assert(t, Find(read(t), "a") == nil, "an ID's start names no request")
 }
 
--- a/entry/gateway/follower.go
+++ b/entry/gateway/follower.go
@@ -22,7 +22,7 @@
 )
 
 // follower keeps the configuration and the list of targets up to date. The
-// entry that plans reads them for all; the others hear from it how new their
+// entry that plans reads them for all; the others are told how new their
 // copies are, and read by themselves when they do not.
 type follower struct {
 	gateway   *Gateway
@@ -155,7 +155,7 @@
 	gateway.metrics.Put("config.version", int64(parsed.Version()))
 	gateway.log.Infof("configuration %d is in force", parsed.Version())
 	gateway.changed.raise()
-	gateway.peers.hurry()
+	gateway.peers.sendSoon()
 }
 
 func (follower *follower) followTargets(ctx context.Context) error {
@@ -238,7 +238,7 @@
 	}
 	gateway.changed.raise()
 	if changed {
-		gateway.peers.hurry()
+		gateway.peers.sendSoon()
 	}
 }
 
@@ -297,14 +297,14 @@
 	state.ListAge, _ = follower.listing.Age(now)
 }
 
-// hear takes in how new a peer's documents are, and says whether one of them is
+// receive takes in how new a peer's documents are, and says whether one of them is
 // newer than this entry's.
-func (follower *follower) hear(state *wire.EntryState) (newer bool) {
+func (follower *follower) receive(state *wire.EntryState) (newer bool) {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	now := follower.gateway.clock.Now()
-	config := follower.version.Heard(state.Version, state.VersionAge, now)
-	list := follower.listing.Heard(state.List, state.ListAge, now)
+	config := follower.version.Observe(state.Version, state.VersionAge, now)
+	list := follower.listing.Observe(state.List, state.ListAge, now)
 	return config || list
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -19,35 +19,35 @@
 
 const (
 	tellPeriod     = 200 * time.Millisecond // between an entry's messages to others
-	introducePart  = 5                      // of messages, one names other entries
-	maxIntroduced  = 8                      // entries named at once
-	introduceLife  = 3 * time.Second        // entries heard before that may be gone
+	membersPart    = 5                      // of messages, one names other entries
+	maxMembers     = 8                      // entries named at once
+	memberLife     = 3 * time.Second        // entries whose last message is older may be gone
 	peersPerPeriod = 8                      // entries beyond which messages become rarer in proportion
-	peerLife       = 30 * time.Second       // entries unheard for that long are told nothing
+	peerLife       = 30 * time.Second       // entries that sent nothing for that long are sent nothing
 	agentOffset    = 1                      // agents listen on the port after the entries'
 )
 
 // peers are the messages to and from other instances: what is told to them
-// stands here, what is heard in hearing.go, and commands to agents in
+// stands here, what is received in receiving.go, and commands to agents in
 // commands.go.
 type peers struct {
-	gateway  *Gateway
-	socket   *datagram.Socket
-	next     atomic.Uint64
-	early    chan struct{}                // wakes the sender before its time
-	mu       sync.Mutex                   // guards what follows
-	told     uint64                       // rounds of messages
-	pressing bool                         // requests asked for a model that no target holds since the last round
-	entries  map[netip.AddrPort]time.Time // other entries and when they were heard
-	waiting  map[uint64]chan *wire.Result
-	used     map[directory.TargetKey]map[wire.AdapterUse]bool
-	states   map[directory.TargetKey]heard
-	wanted   map[string]float64 // tokens asked of models since the start
-	totals   map[netip.AddrPort]peerTotals
+	gateway *Gateway
+	socket  *datagram.Socket
+	next    atomic.Uint64
+	early   chan struct{}                // wakes the sender before its time
+	mu      sync.Mutex                   // guards what follows
+	told    uint64                       // rounds of messages
+	missing bool                         // requests asked for a model that no target holds since the last round
+	entries map[netip.AddrPort]time.Time // other entries and when their last message came
+	waiting map[uint64]chan *wire.Result
+	used    map[directory.TargetKey]map[wire.AdapterUse]bool
+	states  map[directory.TargetKey]received
+	wanted  map[string]float64 // tokens asked of models since the start
+	totals  map[netip.AddrPort]peerTotals
 }
 
-// heard is an agent's last message.
-type heard struct {
+// received is an agent's last message.
+type received struct {
 	state *wire.TargetState
 	at    time.Time
 }
@@ -67,7 +67,7 @@
 		entries: map[netip.AddrPort]time.Time{},
 		waiting: map[uint64]chan *wire.Result{},
 		used:    map[directory.TargetKey]map[wire.AdapterUse]bool{},
-		states:  map[directory.TargetKey]heard{},
+		states:  map[directory.TargetKey]received{},
 		wanted:  map[string]float64{},
 		totals:  map[netip.AddrPort]peerTotals{},
 	}
@@ -83,7 +83,7 @@
 	peers.mu.Lock()
 	peers.socket = socket
 	for _, ip := range options.PeerIPs {
-		peers.meet(net.JoinHostPort(ip, strconv.Itoa(options.PeerPort)))
+		peers.addEntry(net.JoinHostPort(ip, strconv.Itoa(options.PeerPort)))
 	}
 	peers.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
@@ -110,16 +110,16 @@
 	return tellPeriod * time.Duration(1+len(peers.entries)/peersPerPeriod)
 }
 
-// hurry brings the next messages forward.
-func (peers *peers) hurry() {
+// sendSoon sends the next messages without waiting for their period.
+func (peers *peers) sendSoon() {
 	select {
 	case peers.early <- struct{}{}:
 	default: // brought forward already
 	}
 }
 
-// meet adds an entry; the caller holds the lock.
-func (peers *peers) meet(address string) {
+// addEntry records an entry; the caller holds the lock.
+func (peers *peers) addEntry(address string) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		peers.gateway.log.Warnf("address of a peer cannot be read: %v", err)
@@ -131,23 +131,23 @@
 	}
 }
 
-// introduced returns some entries that were heard lately for others to meet,
-// every few messages; the caller holds the lock.
-func (peers *peers) introduced(now time.Time) []string {
+// members returns some entries that sent a message lately, for others that do
+// not know them, every few messages; the caller holds the lock.
+func (peers *peers) members(now time.Time) []string {
 	peers.told++
-	if peers.told%introducePart != 1 {
+	if peers.told%membersPart != 1 {
 		return nil
 	}
-	var introduced []string
+	var members []string
 	for address, heard := range peers.totals { // in another order each time
-		if now.Sub(heard.at) > introduceLife {
+		if now.Sub(heard.at) > memberLife {
 			continue
 		}
-		if introduced = append(introduced, address.String()); len(introduced) == maxIntroduced {
+		if members = append(members, address.String()); len(members) == maxMembers {
 			break
 		}
 	}
-	return introduced
+	return members
 }
 
 // leave tells the others that this instance ends.
@@ -173,8 +173,8 @@
 		return
 	}
 	state.Wanted = listTotals(peers.wanted)
-	state.Entries = peers.introduced(now)
-	state.Pressing, peers.pressing = peers.pressing, false
+	state.Entries = peers.members(now)
+	state.ModelMissing, peers.missing = peers.missing, false
 	short := *state
 	short.Wanted = nil
 	planned := peers.planned(now)
@@ -190,12 +190,12 @@
 		}
 		peers.send(address, state)
 	}
-	peers.greetAgents(state)
+	peers.subscribe(state)
 }
 
-// greetAgents tells the agents that this entry wants their messages, and which
-// adapters it uses.
-func (peers *peers) greetAgents(state *wire.EntryState) {
+// subscribe asks the agents for their messages, and tells them which adapters
+// this entry uses.
+func (peers *peers) subscribe(state *wire.EntryState) {
 	state.Spent, state.Levels, state.Wanted, state.Entries = nil, nil, nil, nil
 	for _, target := range peers.gateway.follower.engines() {
 		address, err := peers.agent(target)
@@ -251,7 +251,7 @@
 	return false
 }
 
-// otherPlanner returns the fence of another entry that plans and was heard
+// otherPlanner returns the fence of another entry that plans and sent a message
 // within life.
 func (peers *peers) otherPlanner(life time.Duration, now time.Time) uint64 {
 	peers.mu.Lock()
@@ -293,12 +293,12 @@
 // outputWork is the work of a generated token in tokens of a prompt.
 const outputWork = 4
 
-// press tells the planner at once that a request asks for a model that no
+// reportMissing tells the planner at once that a request asks for a model that no
 // target holds.
-func (peers *peers) press() {
+func (peers *peers) reportMissing() {
 	peers.mu.Lock()
-	peers.pressing = true
+	peers.missing = true
 	peers.mu.Unlock()
 	peers.gateway.planner.wake()
-	peers.hurry()
+	peers.sendSoon()
 }
--- a/entry/gateway/planning.go
+++ b/entry/gateway/planning.go
@@ -14,8 +14,8 @@
 	planPeriod    = 250 * time.Millisecond  // between two looks at the fleet
 	planRepeat    = 400 * time.Millisecond  // until a command is sent again; loads take seconds
 	planWait      = 1500 * time.Millisecond // for a command to be taken up
-	planWarmUp    = 500 * time.Millisecond  // a new planner listens for that long before it commands; agents speak every 100 ms
-	plannerLife   = 1200 * time.Millisecond // a planner unheard for that long may be gone
+	planWarmUp    = 500 * time.Millisecond  // a new planner collects reports for that long before it commands; agents send one every 100 ms
+	plannerLife   = 1200 * time.Millisecond // a planner that sent nothing for that long may be gone
 	leaseDuration = 3 * time.Second
 	leaseDrift    = 0.02 // bound on the difference of two clocks' speeds
 	leaseTimeout  = time.Second
@@ -153,7 +153,7 @@
 	}
 }
 
-// complete says whether every target's agent has been heard.
+// complete says whether every target's agent has sent a message.
 func complete(targets []residency.Target) bool {
 	for _, target := range targets {
 		if target.Unusable {
--- a/entry/gateway/hearing.go
+++ b/entry/gateway/receiving.go
@@ -11,9 +11,9 @@
 func (peers *peers) receive(from netip.AddrPort, message wire.Message) {
 	switch message := message.(type) {
 	case *wire.EntryState:
-		peers.hearEntry(from, message)
+		peers.receiveEntry(from, message)
 	case *wire.TargetState:
-		peers.hearTarget(from, message)
+		peers.receiveTarget(from, message)
 	case *wire.Result:
 		peers.mu.Lock()
 		waiting := peers.waiting[message.ID]
@@ -28,7 +28,7 @@
 	}
 }
 
-func (peers *peers) hearEntry(from netip.AddrPort, state *wire.EntryState) {
+func (peers *peers) receiveEntry(from netip.AddrPort, state *wire.EntryState) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	name := from.String()
@@ -46,12 +46,12 @@
 		delete(peers.totals, from)
 		return
 	}
-	if gateway.follower.hear(state) {
+	if gateway.follower.receive(state) {
 		gateway.relaying.learn(from)
 	}
 	peers.entries[from] = now
 	for _, address := range state.Entries {
-		peers.meet(address)
+		peers.addEntry(address)
 	}
 	wanted := totalsOf(state.Wanted)
 	before, known := peers.totals[from]
@@ -62,7 +62,7 @@
 			gateway.planner.asked(model, delta, now)
 		}
 	}
-	if state.Pressing {
+	if state.ModelMissing {
 		gateway.planner.wake()
 	}
 	if len(wanted) == 0 && same {
@@ -71,8 +71,8 @@
 	peers.totals[from] = peerTotals{incarnation: state.Incarnation, wanted: wanted, planFence: state.PlanFence, at: now}
 }
 
-// hearTarget takes in an agent's message.
-func (peers *peers) hearTarget(from netip.AddrPort, state *wire.TargetState) {
+// receiveTarget takes in an agent's message.
+func (peers *peers) receiveTarget(from netip.AddrPort, state *wire.TargetState) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	key := directory.TargetKey{ID: state.Target, Born: state.Born}
@@ -85,18 +85,18 @@
 	if !state.Full {
 		if !known || before.state.Holding != state.Holding {
 			peers.mu.Unlock()
-			return // the holding that it speaks of has not come yet, and is sent again
+			return // the holding that it refers to has not come yet, and is sent again
 		}
 		state.TakeHolding(before.state)
 	}
-	peers.states[key] = heard{state: state, at: now}
+	peers.states[key] = received{state: state, at: now}
 	for other, one := range peers.states {
 		if now.Sub(one.at) > stateLife {
 			delete(peers.states, other)
 		}
 	}
 	for _, entry := range state.Entries {
-		peers.meet(entry)
+		peers.addEntry(entry)
 	}
 	loading := peers.loading(now)
 	peers.mu.Unlock()
--- a/entry/gateway/relaying.go
+++ b/entry/gateway/relaying.go
@@ -19,7 +19,7 @@
 	askTimeout = 500 * time.Millisecond
 )
 
-// relaying passes the platform's documents between entries: to those that hear
+// relaying passes the platform's documents between entries: to those that learn
 // of newer ones, and to those that start while the platform does not answer.
 type relaying struct {
 	gateway *Gateway
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -247,16 +247,16 @@
 
 // place waits until a target is free for the request.
 func (gateway *Gateway) place(visit *visit) (*directory.Target, *code.Fault) {
-	pressed := false
+	reported := false
 	for {
 		changed := gateway.changed.wait()
 		now := gateway.clock.Now()
 		gateway.mu.Lock()
 		decision := gateway.board.Choose(&visit.wanted, visit.tried, now)
 		gateway.mu.Unlock()
-		if !pressed && decision.Missing() {
-			pressed = true
-			gateway.peers.press()
+		if !reported && decision.Missing() {
+			reported = true
+			gateway.peers.reportMissing()
 		}
 		switch decision := decision.(type) {
 		case dispatch.Send:
--- a/kernel/directory/vintage.go
+++ b/kernel/directory/vintage.go
@@ -41,9 +41,9 @@
 // Failed records a reading without an answer.
 func (vintage *Vintage) Failed(now time.Time) { vintage.tried = now }
 
-// Heard records what another instance says of its copy. It returns whether that
+// Observe records what another instance says of its copy. It returns whether that
 // copy is newer than the own one, so that it should be fetched.
-func (vintage *Vintage) Heard(number uint64, age time.Duration, now time.Time) (newer bool) {
+func (vintage *Vintage) Observe(number uint64, age time.Duration, now time.Time) (newer bool) {
 	if number == 0 {
 		return false
 	}
--- a/kernel/directory/vintage_test.go
+++ b/kernel/directory/vintage_test.go
@@ -13,7 +13,7 @@
 	testMost  = time.Second
 )
 
-func TestOnlyTheLeaderReadsWhileItIsHeard(t *testing.T) {
+func TestOnlyTheLeaderReadsWhileItSends(t *testing.T) {
 	now := time.Unix(1000, 0)
 	leader, other := NewVintage(testOften, testMost), NewVintage(testOften, testMost)
 	leader.Read(7, now)
@@ -27,24 +27,24 @@
 		}
 		age, known := leader.Age(now)
 		assert.Assert(t, known)
-		assert.Assert(t, !other.Heard(7, age, now))
+		assert.Assert(t, !other.Observe(7, age, now))
 		assert.Assert(t, !other.Due(false, now))
 	}
 	assert.Equal(t, reads, 20)
 	now = now.Add(testMost)
-	assert.Assert(t, other.Due(false, now), "the leader has not been heard")
+	assert.Assert(t, other.Due(false, now), "the leader has not been received")
 }
 
 func TestNewerCopyIsFetchedAndOlderOneIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
 	vintage := NewVintage(testOften, testMost)
-	assert.Assert(t, !vintage.Heard(0, 0, now), "the other has none either")
-	assert.Assert(t, vintage.Heard(7, time.Hour, now), "any copy is better than none")
+	assert.Assert(t, !vintage.Observe(0, 0, now), "the other has none either")
+	assert.Assert(t, vintage.Observe(7, time.Hour, now), "any copy is better than none")
 	vintage.Read(7, now.Add(-time.Hour))
 	assert.Assert(t, vintage.Due(false, now), "a copy that was old when it came is read anew")
-	assert.Assert(t, vintage.Heard(8, 0, now))
+	assert.Assert(t, vintage.Observe(8, 0, now))
 	vintage.Read(8, now)
-	assert.Assert(t, !vintage.Heard(7, 0, now))
+	assert.Assert(t, !vintage.Observe(7, 0, now))
 	assert.Equal(t, vintage.Number(), uint64(8))
 }
 
@@ -84,7 +84,7 @@
 			default:
 				other := fleet[rapid.IntRange(0, 3).Draw(t, "other")]
 				age, known := other.Age(now)
-				if known && one.Heard(other.Number(), age, now) {
+				if known && one.Observe(other.Number(), age, now) {
 					one.Read(other.Number(), now.Add(-age))
 				}
 			}
--- a/kernel/dispatch/board.go
+++ b/kernel/dispatch/board.go
@@ -17,7 +17,7 @@
 	replicas   map[directory.TargetKey]*replica
 	services   map[string][]*replica
 	holders    holders
-	homes      map[adapterOf]*replica // targets that adapters are drawn to; found anew when holders change
+	affinities map[adapterOf]*replica // preferred targets of adapters; computed anew when holders change
 	next       uint64
 	loading    map[string]time.Time // model to when a load under way ends
 	catalogue  *directory.Directory
@@ -30,7 +30,7 @@
 		replicas:   map[directory.TargetKey]*replica{},
 		services:   map[string][]*replica{},
 		holders:    holders{},
-		homes:      map[adapterOf]*replica{},
+		affinities: map[adapterOf]*replica{},
 		loading:    map[string]time.Time{},
 	}
 }
@@ -40,7 +40,7 @@
 func (board *Board) SetTargets(targets []*directory.Target) {
 	listed := map[directory.TargetKey]bool{}
 	board.services, board.holders = map[string][]*replica{}, holders{}
-	clear(board.homes)
+	clear(board.affinities)
 	for _, target := range targets {
 		key := target.Key()
 		listed[key] = true
@@ -50,7 +50,7 @@
 			board.replicas[key] = known
 		}
 		known.target, known.gone = target, false
-		if !known.reported && !known.doubted {
+		if !known.reported && !known.stale {
 			known.setModels(target.Models())
 		}
 		board.services[target.Service()] = append(board.services[target.Service()], known)
@@ -98,7 +98,7 @@
 	for model := range replica.models {
 		if _, held := before[model]; !held {
 			board.holders.add(replica, model)
-			clear(board.homes)
+			clear(board.affinities)
 		}
 	}
 }
@@ -106,7 +106,7 @@
 // drop takes a replica off the holders of a model.
 func (board *Board) drop(replica *replica, model string) {
 	board.holders.remove(replica, model)
-	clear(board.homes)
+	clear(board.affinities)
 }
 
 // candidates returns the targets of a service that hold a model, and all of
@@ -196,8 +196,8 @@
 		return
 	}
 	if !replica.reported {
-		// Only the list speaks of it, which still shows starts that have ended.
-		replica.doubted = true
+		// It is known from the list only, which still shows starts that have ended.
+		replica.stale = true
 		board.setModels(replica, nil)
 		return
 	}
--- a/kernel/dispatch/board_test.go
+++ b/kernel/dispatch/board_test.go
@@ -171,9 +171,9 @@
 	assert.Equal(t, sentTo(t, board.Choose(request(), nil, start)), "a")
 }
 
-// TestEndedStartIsTriedOnceOnly holds that a target that only the list speaks of
-// is trusted in nothing once it has said that it lacks something: the list shows
-// starts for a while after they have ended.
+// TestEndedStartIsTriedOnceOnly holds that nothing of what the list says of a
+// target is used once it has said that it lacks something, until its agent
+// reports: the list shows starts for a while after they have ended.
 func TestEndedStartIsTriedOnceOnly(t *testing.T) {
 	board := NewBoard("here")
 	spec := directory.TargetSpec{ID: "a", Service: "llm", DataCentre: "here", Slots: 4, Models: []directory.Resident{{Model: "m"}, {Model: "n"}}}
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -14,7 +14,7 @@
 	fetchPenalty   = 15 * time.Millisecond  // an adapter's load, from the sheets of the deployments
 	remotePenalty  = 8 * time.Millisecond   // keeps requests in their data centre while loads are alike
 	restPenalty    = 3 * time.Second        // puts a failing target behind all others
-	affinityGain   = 20 * time.Millisecond  // pulls an adapter's requests together on one target
+	affinityGain   = 20 * time.Millisecond  // keeps an adapter's requests on one target
 	maxWeighed     = 96                     // targets weighed for a request; keeps a choice within 20 us
 	queuePart      = 0.35                   // part of the objective that a request waits behind others; queues that take it all make everybody late
 	deadlineMargin = 0.9                    // part of the time left that a wait may take
@@ -29,7 +29,7 @@
 	best := choice{}
 	holders, roomy := 0, false
 	candidates := board.candidates(request.Service, request.Model)
-	home := board.home(candidates, request)
+	affine := board.affine(candidates, request)
 	first, count := board.sample(len(candidates))
 	for index := range count {
 		replica := candidates[(first+index)%len(candidates)]
@@ -41,7 +41,7 @@
 			continue
 		}
 		roomy = true
-		if weighed := board.weigh(replica, request, replica == home, now); best.replica == nil || weighed.cost < best.cost {
+		if weighed := board.weigh(replica, request, replica == affine, now); best.replica == nil || weighed.cost < best.cost {
 			best = weighed
 		}
 	}
@@ -83,12 +83,12 @@
 }
 
 // weigh estimates a request's wait at a target and adds the penalties.
-func (board *Board) weigh(replica *replica, request *Request, home bool, now time.Time) choice {
+func (board *Board) weigh(replica *replica, request *Request, affine bool, now time.Time) choice {
 	choice := choice{replica: replica, wait: replica.wait(request, now), own: replica.reading(request)}
 	if !replica.holdsAdapter(request.Model, request.Adapter) {
 		choice.fetch = true
 		choice.wait += replica.fetchWait(now)
-		if home {
+		if affine {
 			choice.wait -= min(affinityGain, choice.wait)
 		}
 	}
@@ -105,30 +105,30 @@
 // adapterOf names an adapter of a model.
 type adapterOf struct{ service, model, adapter string }
 
-// home returns the target that an adapter is drawn to, by highest random weight
+// affine returns the preferred target of an adapter, by highest random weight
 // among those that hold its model; nil for a request without an adapter.
-func (board *Board) home(candidates []*replica, request *Request) *replica {
+func (board *Board) affine(candidates []*replica, request *Request) *replica {
 	if request.Adapter == "" {
 		return nil
 	}
 	key := adapterOf{request.Service, request.Model, request.Adapter}
-	if known := board.homes[key]; known != nil && !known.leaving() {
+	if known := board.affinities[key]; known != nil && !known.leaving() {
 		return known
 	}
-	var home *replica
+	var affine *replica
 	highest := uint64(0)
 	for _, replica := range candidates {
 		if replica.leaving() {
 			continue
 		}
-		if mine := weight(replica.target.ID(), request.Model, request.Adapter); home == nil || mine > highest {
-			home, highest = replica, mine
+		if mine := weight(replica.target.ID(), request.Model, request.Adapter); affine == nil || mine > highest {
+			affine, highest = replica, mine
 		}
 	}
-	if home != nil {
-		board.homes[key] = home
+	if affine != nil {
+		board.affinities[key] = affine
 	}
-	return home
+	return affine
 }
 
 func weight(target, model, adapter string) uint64 {
@@ -150,7 +150,7 @@
 	return Hold{Reason: reason, Until: request.Begin}
 }
 
-// loadTime returns how long it takes until a model that nobody loads yet is
+// loadTime returns how long it takes until a model that is not being loaded yet is
 // resident.
 func (board *Board) loadTime(request *Request) time.Duration {
 	if board.catalogue == nil {
--- a/kernel/dispatch/overload_test.go
+++ b/kernel/dispatch/overload_test.go
@@ -116,7 +116,7 @@
 
 // TestOverloadServesInTimeWhomItServes holds that at twice the load that the
 // engines can read, bounded queues serve more callers in time than long ones and
-// let nobody wait in vain.
+// leave no caller waiting until it gives up.
 func TestOverloadServesInTimeWhomItServes(t *testing.T) {
 	var bounded, long total
 	for seed := range uint64(8) {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -21,8 +21,8 @@
 	backoffMost    = 2 * time.Second
 	failuresToRest = 3
 	faultWeight    = 0.2                     // of the newest outcome in the share of failures
-	faultLife      = 5 * time.Second         // time constant with which old failures are forgiven, so that a target is tried again
-	forgiven       = 0.05                    // share of failures below which a target counts as sound; one in twenty is usual for some services
+	faultLife      = 5 * time.Second         // time constant of the decay of old failures, so that a target is tried again
+	faultFloor     = 0.05                    // share of failures that is ignored; some services fail one in twenty at all times
 	faultCost      = time.Second             // added to the wait of a target that fails every request; about what a caller loses by coming back
 	declinedFault  = 0.5                     // part of a failure that an answer "not run" is; the request can go elsewhere
 	silence        = 400 * time.Millisecond  // four periods of an agent's reports
@@ -47,7 +47,7 @@
 	gone     bool // no longer listed, kept for its flights
 	report   directory.Report
 	reported bool
-	doubted  bool                // what the list says of it was found wrong, and there is no report yet
+	stale    bool                // what the list said of it was wrong, and there is no report yet
 	models   map[string][]string // model to adapters
 	flights  map[uint64]*flight
 	rate     float64 // prompt tokens a millisecond
@@ -76,12 +76,12 @@
 	}
 }
 
-// fresh says whether the report still speaks of the present.
+// fresh says whether the report is recent enough to use.
 func (replica *replica) fresh(now time.Time) bool {
 	return replica.reported && now.Sub(replica.report.At) < reportLife
 }
 
-// silent says whether the target seems to stand still: its agent, which stands
+// silent says whether the target seems to be frozen: its agent, which stands
 // on the same machine, says nothing, and neither does the target although it
 // has requests to answer.
 func (replica *replica) silent(now time.Time) bool { return replica.silentFor(silence, now) }
@@ -213,7 +213,7 @@
 		return 0
 	}
 	left := replica.faults * math.Exp(-float64(now.Sub(replica.judged))/float64(faultLife))
-	if left < forgiven {
+	if left < faultFloor {
 		return 0
 	}
 	return left
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -89,10 +89,10 @@
 // Missing returns false.
 func (Fetch) Missing() bool { return false }
 
-// Missing says whether nobody holds or loads the model.
+// Missing says whether no target holds or loads the model.
 func (hold Hold) Missing() bool { return hold.Reason == NotResident }
 
-// Missing says whether nobody holds or loads the model.
+// Missing says whether no target holds or loads the model.
 func (refuse Refuse) Missing() bool { return refuse.Reason == NotResident }
 
 // Reason says why a request is not sent.
--- a/kernel/holding/promise_test.go
+++ b/kernel/holding/promise_test.go
@@ -85,16 +85,16 @@
 	}
 }
 
-func (engine *engine) answer(keeper *Keeper, order directory.Order, now time.Time) {
+func (engine *engine) answer(controller *Controller, order directory.Order, now time.Time) {
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "late"}).Draw(engine.t, "answer") {
 	case "ok":
-		keeper.Answered(order, engine.carryOut(order), now)
+		controller.Answered(order, engine.carryOut(order), now)
 	case "lost":
 		engine.carryOut(order)
-		keeper.Answered(order, directory.OrderUnknown, now)
+		controller.Answered(order, directory.OrderUnknown, now)
 	default:
 		engine.late = append(engine.late, order)
-		keeper.Answered(order, directory.OrderUnknown, now)
+		controller.Answered(order, directory.OrderUnknown, now)
 	}
 }
 
@@ -102,16 +102,16 @@
 	orders := 0
 	rapid.Check(t, func(t *rapid.T) {
 		engine := &engine{t: t, born: 1, models: map[string][]string{"m0": nil, "m1": nil}}
-		keeper, now := New(), time.Unix(100, 0)
-		keeper.SetService(service())
+		controller, now := New(), time.Unix(100, 0)
+		controller.SetService(service())
 		model := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m4"})
 		for step := range rapid.IntRange(10, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 100, 900}).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
-				keeper.Want(uint64(step), "e", model.Draw(t, "model"), fmt.Sprintf("a%d", rapid.IntRange(1, 6).Draw(t, "adapter")), now.Add(time.Second), now)
+				controller.Want(uint64(step), "e", model.Draw(t, "model"), fmt.Sprintf("a%d", rapid.IntRange(1, 6).Draw(t, "adapter")), now.Add(time.Second), now)
 			case 1:
-				keeper.Command(Plan{
+				controller.Command(Plan{
 					ID: uint64(step), From: "p", Fence: uint64(rapid.IntRange(1, 3).Draw(t, "fence")),
 					Unload: []string{model.Draw(t, "unload")}, Load: model.Draw(t, "load"), Latest: now.Add(3 * time.Second),
 				}, now)
@@ -128,65 +128,65 @@
 					engine.born, engine.sequence, engine.models, engine.late = engine.born+1, 0, map[string][]string{}, nil
 				}
 			default:
-				keeper.Reported(engine.report(now))
-				if order, ok := keeper.Next(now); ok {
+				controller.Reported(engine.report(now))
+				if order, ok := controller.Next(now); ok {
 					orders++
-					engine.answer(keeper, order, now)
+					engine.answer(controller, order, now)
 				}
 			}
-			keeper.Results()
+			controller.Results()
 		}
 	})
 	assert.Assert(t, orders > 0, "no history gave an order")
 }
 
-func reported(keeper *Keeper, now time.Time, models ...directory.Resident) {
-	keeper.Reported(directory.Report{At: now, Born: 1, Models: models, Disk: []string{"m2"}})
+func reported(controller *Controller, now time.Time, models ...directory.Resident) {
+	controller.Reported(directory.Report{At: now, Born: 1, Models: models, Disk: []string{"m2"}})
 }
 
 func TestOldPlannerIsRefused(t *testing.T) {
-	keeper, now := New(), time.Unix(100, 0)
-	keeper.SetService(service())
-	reported(keeper, now)
-	assert.Assert(t, keeper.Command(Plan{ID: 1, From: "new", Fence: 5, Load: "m0", Latest: now.Add(time.Second)}, now))
-	assert.Assert(t, !keeper.Command(Plan{ID: 2, From: "old", Fence: 4, Load: "m1", Latest: now.Add(time.Second)}, now))
-	assert.DeepEqual(t, keeper.Results(), []Result{{ID: 2, To: "old", Reason: "a newer planner has spoken"}})
+	controller, now := New(), time.Unix(100, 0)
+	controller.SetService(service())
+	reported(controller, now)
+	assert.Assert(t, controller.Command(Plan{ID: 1, From: "new", Fence: 5, Load: "m0", Latest: now.Add(time.Second)}, now))
+	assert.Assert(t, !controller.Command(Plan{ID: 2, From: "old", Fence: 4, Load: "m1", Latest: now.Add(time.Second)}, now))
+	assert.DeepEqual(t, controller.Results(), []Result{{ID: 2, To: "old", Reason: "a newer planner has spoken"}})
 }
 
 func TestModelsAboutToGoAreNotTold(t *testing.T) {
-	keeper, now := New(), time.Unix(100, 0)
-	keeper.SetService(service())
-	reported(keeper, now, directory.Resident{Model: "m0"}, directory.Resident{Model: "m1"})
-	keeper.Command(Plan{ID: 1, Fence: 1, Unload: []string{"m0"}, Load: "m2", Latest: now.Add(time.Second)}, now)
-	assert.DeepEqual(t, keeper.Models(), []directory.Resident{{Model: "m1"}})
-	_, early := keeper.Next(now)
+	controller, now := New(), time.Unix(100, 0)
+	controller.SetService(service())
+	reported(controller, now, directory.Resident{Model: "m0"}, directory.Resident{Model: "m1"})
+	controller.Command(Plan{ID: 1, Fence: 1, Unload: []string{"m0"}, Load: "m2", Latest: now.Add(time.Second)}, now)
+	assert.DeepEqual(t, controller.Models(), []directory.Resident{{Model: "m1"}})
+	_, early := controller.Next(now)
 	assert.Assert(t, !early, "entries have not heard yet")
-	order, ok := keeper.Next(now.Add(releasePause))
+	order, ok := controller.Next(now.Add(releasePause))
 	assert.Assert(t, ok && !order.Load && order.Model == "m0")
 }
 
 func TestRestartLoadsAgainWhatIsOnHand(t *testing.T) {
-	keeper, now := New(), time.Unix(100, 0)
-	keeper.SetService(service())
-	reported(keeper, now, directory.Resident{Model: "m2"}, directory.Resident{Model: "m1"})
-	keeper.Reported(directory.Report{At: now, Born: 2, Disk: []string{"m2"}})
-	order, ok := keeper.Next(now)
+	controller, now := New(), time.Unix(100, 0)
+	controller.SetService(service())
+	reported(controller, now, directory.Resident{Model: "m2"}, directory.Resident{Model: "m1"})
+	controller.Reported(directory.Report{At: now, Born: 2, Disk: []string{"m2"}})
+	order, ok := controller.Next(now)
 	assert.Assert(t, ok && order.Load && order.Model == "m2", "%v", order)
-	keeper.Answered(order, directory.OrderAccepted, now)
-	keeper.Reported(directory.Report{At: now, Born: 2, Sequence: 1, Models: []directory.Resident{{Model: "m2"}}})
-	_, ok = keeper.Next(now)
+	controller.Answered(order, directory.OrderAccepted, now)
+	controller.Reported(directory.Report{At: now, Born: 2, Sequence: 1, Models: []directory.Resident{{Model: "m2"}}})
+	_, ok = controller.Next(now)
 	assert.Assert(t, !ok, "m1 is not on hand, and the weight store's rate is the planner's")
 }
 
 func TestUsedAdapterIsNotEvicted(t *testing.T) {
-	keeper, now := New(), time.Unix(100, 0)
-	keeper.SetService(service())
-	reported(keeper, now, directory.Resident{Model: "m0", Adapters: []string{"a1", "a2", "a3"}})
+	controller, now := New(), time.Unix(100, 0)
+	controller.SetService(service())
+	reported(controller, now, directory.Resident{Model: "m0", Adapters: []string{"a1", "a2", "a3"}})
 	for _, adapter := range []string{"a1", "a3"} {
-		keeper.Use("m0", adapter, now)
+		controller.Use("m0", adapter, now)
 	}
-	keeper.Want(1, "e", "m0", "a4", now.Add(time.Second), now)
-	order, ok := keeper.Next(now)
+	controller.Want(1, "e", "m0", "a4", now.Add(time.Second), now)
+	order, ok := controller.Next(now)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, order, directory.Order{Model: "m0", Adapter: "a2"})
 }
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -17,7 +17,7 @@
 
 const (
 	forecastLife  = 1500 * time.Millisecond // time constant of the demand; demand moves within a few seconds
-	floorDemand   = 400.0                   // tokens a second asked of a model that nobody asks for, so that each stays resident
+	floorDemand   = 400.0                   // tokens a second assumed of an idle model, so that each stays resident
 	absentPenalty = 40.0                    // factor on the square of work that no target can take
 	burdenPerS    = 0.15                    // part of the squared mean work that each second of a load must win back
 	commandLife   = 4 * time.Second         // a command that shows no effect by then is taken as lost
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -20,21 +20,21 @@
 // EntryState is what an entry tells other entries and agents, several times a
 // second.
 type EntryState struct {
-	Name        string
-	Incarnation uint64
-	Version     uint64 // configuration in force
-	Leaving     bool
-	Spent       []Total       // cost units since the start, by customer
-	Levels      []Total       // cost units left in the buckets, by customer
-	Wanted      []Total       // tokens asked for since the start, by model
-	Used        []AdapterUse  // adapters used since the last message, at the agent's target
-	PlanFence   uint64        // of the planner that the entry is, 0 when it is none
-	VersionAge  time.Duration // since the version was known to be the newest
-	List        uint64        // number of the list of targets, 0 without one
-	ListAge     time.Duration // since the list was known to be the newest
-	Entries     []string      // addresses of some entries that were heard lately
-	Pressing    bool          // requests ask for a model that no target holds
-	Holding     uint64        // to an agent: number of the last change of its target's holding that the entry knows
+	Name         string
+	Incarnation  uint64
+	Version      uint64 // configuration in force
+	Leaving      bool
+	Spent        []Total       // cost units since the start, by customer
+	Levels       []Total       // cost units left in the buckets, by customer
+	Wanted       []Total       // tokens asked for since the start, by model
+	Used         []AdapterUse  // adapters used since the last message, at the agent's target
+	PlanFence    uint64        // of the planner that the entry is, 0 when it is none
+	VersionAge   time.Duration // since the version was known to be the newest
+	List         uint64        // number of the list of targets, 0 without one
+	ListAge      time.Duration // since the list was known to be the newest
+	Entries      []string      // addresses of some entries that sent a message lately
+	ModelMissing bool          // requests ask for a model that no target holds
+	Holding      uint64        // to an agent: number of the last change of its target's holding that the entry knows
 }
 
 // AdapterUse names an adapter that requests use.
@@ -71,8 +71,8 @@
 	Loading   string        // model being loaded, empty for none
 	BusyFor   time.Duration // until the order under way should end
 	Able      bool          // the agent may give orders
-	PlanFence uint64        // highest fence of the planners that the agent has heard
-	Entries   []string      // addresses of the entries that greeted lately
+	PlanFence uint64        // highest fence of the planners that have sent commands
+	Entries   []string      // addresses of the subscribed entries
 	Full      bool          // the message holds the fields that TakeHolding takes over
 	Holding   uint64        // number of the last change of these fields
 }
@@ -214,7 +214,7 @@
 	writer.varint(11, entryState.List)
 	writer.duration(12, entryState.ListAge)
 	writer.texts(13, entryState.Entries)
-	writer.flag(14, entryState.Pressing)
+	writer.flag(14, entryState.ModelMissing)
 	writer.varint(15, entryState.Holding)
 }
 
@@ -250,7 +250,7 @@
 	case 13:
 		entryState.Entries = append(entryState.Entries, value.text())
 	case 14:
-		entryState.Pressing = value.flag()
+		entryState.ModelMissing = value.flag()
 	case 15:
 		entryState.Holding = value.number
 	}
