Copy event data and keep ErrNotSent truthful in the engine client

Cause: an event's data was a slice of the scanner's buffer, which the read of the blank line that ends the event overwrites. A call that was sent on a pooled connection and repeated on a new one reported ErrNotSent if that second connection failed, although the target may have run the first try; a refusal built on it would say "not run" falsely, and a load order's reservation would be released while the load may still arrive.

Ruled out: turning the second try off; pooled connections that the target has closed for idleness are usual and the call may be repeated then.

Before: TestReadEventsKeepsDataUntilEventEnds gave 500 bytes of event 1 out of event 2, TestCallAfterLostAnswerIsNotReportedAsNotSent got ErrNotSent. After: both pass.

--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -18,10 +18,9 @@
 	"endiverill.example/kernel/wire"
 )
 
-// Errors of calls. ErrNotSent reports that no connection could be made. The target has
-// then not received the request, unless Call or Stream first sent it on a pooled
-// connection that the target closed. After any other error the target may have received
-// it. ErrTruncated reports that the response ended early.
+// Errors of calls. ErrNotSent reports that no connection could be made and that the
+// target has not received the request. After any other error the target may have
+// received it. ErrTruncated reports that the response ended early.
 var (
 	ErrNotSent   = errors.New("cannot connect to the target, the request was not sent")
 	ErrTruncated = errors.New("the response ended before it was complete")
@@ -53,7 +52,7 @@
 		StreamResponseBody:       stream,
 		MaxResponseBodySize:      maxBodyBytes,
 		NoDefaultUserAgentHeader: true,
-		RetryIfErr:               retryStaleConn,
+		RetryIfErr:               neverRetry,
 		Dial: func(address string) (net.Conn, error) {
 			conn, err := dialer.DialTimeout(address, dialTimeout)
 			if err != nil {
@@ -64,10 +63,23 @@
 	}
 }
 
-// retryStaleConn retries a call once on EOF, the error of a call on a pooled connection
-// that the target has closed.
-func retryStaleConn(request *fasthttp.Request, attempts int, err error) (resetTimeout, retry bool) {
-	return false, attempts < 2 && errors.Is(err, io.EOF) && !request.ConnectionClose()
+// neverRetry leaves retries to do, which knows whether the target may have received an
+// earlier try.
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// do sends a request, and sends it once more if the target closed the connection without
+// a response, as it does with pooled connections that have been idle for too long. If no
+// connection can be made for the second try, the target may still have received the
+// first one, and the error is not ErrNotSent.
+func do(sender *fasthttp.Client, request *fasthttp.Request, response *fasthttp.Response) error {
+	first := sender.Do(request, response)
+	if first == nil || request.ConnectionClose() || !errors.IsAny(first, fasthttp.ErrConnectionClosed, io.EOF) {
+		return first
+	}
+	if second := sender.Do(request, response); second != nil {
+		return errors.Newf("%v; second try: %v", first, second)
+	}
+	return nil
 }
 
 // timeoutConn fails reads that get no data for idleTimeout.
@@ -139,7 +151,7 @@
 		sender = client.unpooled
 		httpRequest.SetConnectionClose()
 	}
-	if err := sender.Do(httpRequest, httpResponse); err != nil {
+	if err := do(sender, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
 	response := readHead(httpResponse)
@@ -185,7 +197,7 @@
 	defer fasthttp.ReleaseRequest(httpRequest)
 	defer fasthttp.ReleaseResponse(httpResponse)
 	setRequest(httpRequest, client.address, request)
-	if err := client.pooled.Do(httpRequest, httpResponse); err != nil {
+	if err := do(client.pooled, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
--- a/agent/internal/engine/event.go
+++ b/agent/internal/engine/event.go
@@ -40,6 +40,7 @@
 	scanner := bufio.NewScanner(stream)
 	scanner.Buffer(make([]byte, 0, readBufferBytes), maxEventBytes)
 	var event Event
+	data := make([]byte, 0, readBufferBytes) // reused by all events
 	for scanner.Scan() {
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -57,7 +58,8 @@
 			if bytes.Equal(payload, endMarker) {
 				return nil
 			}
-			event.data = payload
+			data = append(data[:0], payload...) // a later read overwrites the scanner's buffer
+			event.data = data
 		case len(line) == 0 && event.data != nil:
 			if err := handle(event); err != nil {
 				return err
--- a/agent/internal/engine/orders.go
+++ b/agent/internal/engine/orders.go
@@ -98,7 +98,7 @@
 
 // Load orders the engine to load a model, or an adapter of the given model; the
 // footprint is in bytes. ErrStaleFence means that the engine refused the order. After
-// ErrNotSent the engine has not received it, except on a retry as described at ErrNotSent.
+// ErrNotSent the engine has not received it.
 // After any other error the engine may still carry it out.
 func (client *Client) Load(fence uint64, name, model string, footprint int64) error {
 	return client.order("/admin/load", wireOrder{Fence: fence, Name: name, Model: model, Footprint: footprint})
