Let an expired holder acquire its lease again, and release during a write

Cause: a holder that was suspended past its lease found its own last write in the record, took it for a late answer and never wrote again. After Release with a write in flight, the answer of that write made the lease held until it expired.

Ruled out: forgetting the last write on expiry, which would lose an acquisition whose answer was lost.

Before: TestExpiredHolderAcquiresLeaseAgain and TestReleaseDuringWriteGivesLeaseUp fail. After: both pass, and the property test of the single holder too.

--- a/kernel/lease/lease.go
+++ b/kernel/lease/lease.go
@@ -165,13 +165,19 @@
 		lease.record, lease.version, lease.recordKnown = record, version, true
 		lease.recordSeenAt = now
 	}
+	if lease.released {
+		return nil
+	}
 	if record.holder == lease.params.Holder && record == lease.pending {
 		// The last write took effect, although its response may have been lost. The
 		// lease counts from when that write was sent, so it may have expired already.
 		lease.acquire(record)
-		return nil
+		if _, held := lease.Held(now); held {
+			return nil
+		}
+		lease.held = false
 	}
-	if lease.released || !lease.isFree(now) {
+	if !lease.isFree(now) {
 		return nil
 	}
 	return lease.write(now, record.fence+1)
@@ -200,7 +206,11 @@
 	switch result {
 	case Written:
 		lease.record, lease.version, lease.recordKnown, lease.recordSeenAt = lease.pending, version, true, now
-		if lease.pending.holder != "" {
+		switch {
+		case lease.pending.holder == "": // the release
+		case lease.released:
+			return lease.writeRelease(lease.pending.fence)
+		default:
 			lease.acquire(lease.pending)
 		}
 	case Conflicted:
@@ -215,9 +225,9 @@
 }
 
 // Release gives up the lease, so that another instance can acquire it without
-// waiting for it to expire. If a call is in flight or the record is not known, the
-// lease is left to expire instead. A released Lease starts no acquisition or renewal,
-// but one in flight may still succeed, and the Lease is then held until it expires.
+// waiting for it to expire. If a write is in flight, WriteDone returns the effect that
+// gives the lease up. If the result of that write is unknown, or the record is not
+// known, the lease is left to expire. A released Lease is never held again.
 func (lease *Lease) Release(now time.Time) []Effect {
 	_, held := lease.Held(now)
 	lease.held = false
@@ -225,7 +235,13 @@
 	if !held || lease.callInFlight || !lease.recordKnown {
 		return nil
 	}
-	lease.pending = Record{fence: lease.fence, heartbeat: lease.heartbeat + 1, duration: lease.params.Duration}
+	return lease.writeRelease(lease.fence)
+}
+
+// writeRelease returns the effect that clears the holder in the record of an acquisition
+// with this fencing number.
+func (lease *Lease) writeRelease(fence uint64) []Effect {
+	lease.pending = Record{fence: fence, heartbeat: lease.heartbeat + 1, duration: lease.params.Duration}
 	lease.callInFlight = true
 	return []Effect{Write{Record: lease.pending, BaseVersion: lease.version}}
 }
