Settle plans that already hold and tell plan orders from restore orders

Cause: a plan was only settled when a report arrived, so that one for a resident model yielded a load order and one whose models had vanished was refused. The outcome of any order for a model counted for the plan, also that of a restore.

Change: AcceptPlan settles at once unless an order is outstanding, the pending order remembers its plan, and a restore order that the target refuses is not repeated. The property test lists models by name, so that its seeds replay.

--- a/kernel/orders/controller.go
+++ b/kernel/orders/controller.go
@@ -54,13 +54,14 @@
 type Controller struct {
 	service       *directory.Service
 	report        directory.Report
-	reporting     bool // reports arrive; false from ReportsLost to the next report
-	everReported  bool // at least one report has arrived
-	orderPending  bool // NextOrder returned an order whose outcome has not been recorded
-	reportStale   bool // an outcome was recorded after the last report
+	reporting     bool  // reports arrive; false from ReportsLost to the next report
+	everReported  bool  // at least one report has arrived
+	orderPending  bool  // NextOrder returned an order whose outcome has not been recorded
+	orderPlan     *Plan // plan that the pending order belongs to, nil for none
+	reportStale   bool  // an outcome was recorded after the last report
 	requests      []adapterRequest
 	plan          *Plan
-	planStarted   bool                 // the target accepted an order for a model while the plan was set
+	planStarted   bool                 // the target accepted an order of the plan
 	planNotBefore time.Time            // earliest time for the plan's first order
 	fence         uint64               // highest fencing number of the plans accepted
 	lastUsed      map[string]time.Time // last use of each MODEL/ADAPTER
@@ -154,6 +155,9 @@
 		if len(plan.Unload) == 0 {
 			controller.planNotBefore = now
 		}
+		if !controller.orderPending && !controller.reportStale {
+			controller.settle() // the plan may already hold
+		}
 		return true
 	}
 	return false
@@ -229,7 +233,9 @@
 		return directory.Order{}, false
 	}
 	order, ok = controller.nextPlanOrder(now)
+	controller.orderPlan = controller.plan
 	if !ok {
+		controller.orderPlan = nil
 		order, ok = controller.nextRestoreOrder()
 	}
 	if !ok {
@@ -384,24 +390,28 @@
 }
 
 // RecordOutcome records the outcome of the order that NextOrder returned. NextOrder
-// returns no other order before the next report. If a plan is set, an accepted order
-// for a model counts as its start and a fenced or refused one abandons it, even if
-// the order was to restore a model.
+// returns no other order before the next report. An accepted order of the plan starts
+// it, and a fenced or refused one abandons it. A model whose restore order was fenced or
+// refused is not ordered again.
 func (controller *Controller) RecordOutcome(order directory.Order, outcome directory.OrderOutcome, now time.Time) {
 	controller.orderPending = false
 	controller.reportStale = true
 	if order.Adapter != "" {
 		return
 	}
+	ofPlan := controller.orderPlan != nil && controller.orderPlan == controller.plan
 	switch outcome {
 	case directory.OrderAccepted:
-		controller.planStarted = controller.plan != nil
+		controller.planStarted = controller.planStarted || ofPlan
 		if order.Load {
 			controller.recordLoad(order.Model, now)
 		}
 	case directory.OrderFenced, directory.OrderRefused:
-		if controller.plan != nil {
+		switch {
+		case ofPlan:
 			controller.abandonPlan("the target " + outcome.String() + " the order")
+		case controller.orderPlan == nil && len(controller.restoreQueue) > 0 && controller.restoreQueue[0] == order.Model:
+			controller.restoreQueue = controller.restoreQueue[1:]
 		}
 	case directory.OrderUnknown:
 		if order.Load {
--- a/kernel/orders/promise_test.go
+++ b/kernel/orders/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 	for name, adapters := range engine.models {
 		report.Models = append(report.Models, directory.ResidentModel{Model: name, Adapters: slices.Clone(adapters)})
 	}
-	slices.SortFunc(report.Models, func(a, b directory.ResidentModel) int { return len(a.Model) - len(b.Model) })
+	slices.SortFunc(report.Models, func(a, b directory.ResidentModel) int { return strings.Compare(a.Model, b.Model) })
 	return report
 }
 
