Keep targets that lapsed during an outage of the list

Cause: between two failed reads, expireTargets passed the list from before the outage to TargetTracker.Update, which took it for the first list after the outage. When the real one came, the targets missing in it were dropped at once: half of the requests got 503 for up to two seconds.

Ruled out: a guard on the failing flag of the syncer, which the configuration's reads clear.

Change: TargetTracker.Expire, which neither ends an outage nor drops anything during one.

--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -199,8 +199,7 @@
 
 // expireTargets removes the targets that have been in force without being listed
 // for longer than the tracker allows, such as those that disappeared while the list
-// could not be read. It does nothing when the list is due to be read; in the pause
-// after a failed read, the list is not due.
+// could not be read. It does nothing when the list is due to be read.
 func (syncer *syncer) expireTargets() {
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
@@ -208,7 +207,7 @@
 	if now.Sub(syncer.targetsSet) < targetExpiryInterval || syncer.listFreshness.Due(false, now) {
 		return
 	}
-	syncer.setTargets(syncer.targetTracker.Update(syncer.listed, now), now)
+	syncer.setTargets(syncer.targetTracker.Expire(now), now)
 }
 
 // targetExpiryInterval is the shortest time between two changes of the targets in
--- a/kernel/directory/directory_test.go
+++ b/kernel/directory/directory_test.go
@@ -98,6 +98,31 @@
 	assert.Equal(t, len(targetTracker.Update(both[:1], now.Add(4*time.Second))), 1)
 }
 
+// A list from before an outage must not be taken for the first one after it, in which
+// targets may be missing that are still running.
+func TestExpireDuringOutageKeepsGracePeriod(t *testing.T) {
+	targetTracker, now := NewTargetTracker(), time.Unix(100, 0)
+	both := []*Target{newListedTarget("t1", 1), newListedTarget("t2", 1)}
+	targetTracker.Update(both, now)
+	targetTracker.RecordFailure()
+	assert.Equal(t, len(targetTracker.Expire(now.Add(time.Second))), 2)
+	recovered := now.Add(10 * time.Second)
+	assert.Equal(t, len(targetTracker.Update(both[:1], recovered)), 2, "a target was dropped at recovery")
+	assert.Equal(t, len(targetTracker.Expire(recovered.Add(recoveryGrace))), 2)
+	assert.Equal(t, len(targetTracker.Expire(recovered.Add(recoveryGrace+time.Second))), 1)
+}
+
+func TestExpireDuringOutageKeepsUnlistedIncarnation(t *testing.T) {
+	targetTracker, now := NewTargetTracker(), time.Unix(100, 0)
+	targetTracker.Update([]*Target{newListedTarget("t1", 1)}, now)
+	targetTracker.RecordFailure()
+	assert.Assert(t, targetTracker.RecordReplacement("10.0.0.1", "t2", 2, now))
+	later := now.Add(unlistedTTL + time.Second)
+	assert.DeepEqual(t, ids(targetTracker.Expire(later)), map[string]bool{"t2": true})
+	targetTracker.Update([]*Target{newListedTarget("t1", 1)}, later)
+	assert.Equal(t, len(targetTracker.Expire(later.Add(recoveryGrace+time.Second))), 0, "an incarnation that the source does not list is dropped after its outage")
+}
+
 func TestTargetTrackerAfterOutageDropsMissingTargetWhoseAddressIsReused(t *testing.T) {
 	targetTracker, now := NewTargetTracker(), time.Unix(100, 0)
 	targetTracker.Update([]*Target{newListedTarget("t1", 1)}, now)
--- a/kernel/directory/targettracker.go
+++ b/kernel/directory/targettracker.go
@@ -11,6 +11,7 @@
 // targets. It tolerates outages of the list's source and delays of the list.
 type TargetTracker struct {
 	targets     map[TargetKey]*Target
+	listed      []*Target               // in the last reading
 	failed      bool                    // the last reading failed
 	recoveredAt time.Time               // when a reading last succeeded after an outage
 	missing     map[TargetKey]bool      // targets in use before the outage and not listed since
@@ -75,6 +76,22 @@
 			targetTracker.missing[key] = true
 		}
 	}
+	targetTracker.listed = listed
+	return targetTracker.apply(now)
+}
+
+// Expire returns the targets to use at now, without those that the last reading of the
+// list lacks and whose time has passed. While the list cannot be read, it drops none.
+func (targetTracker *TargetTracker) Expire(now time.Time) []*Target {
+	if targetTracker.failed {
+		return targetTracker.Targets()
+	}
+	return targetTracker.apply(now)
+}
+
+// apply determines the targets to use from the last reading of the list.
+func (targetTracker *TargetTracker) apply(now time.Time) []*Target {
+	listed := targetTracker.listed
 	next := make(map[TargetKey]*Target, len(listed))
 	addresses := map[string]bool{}
 	for _, target := range listed {
