Send unchanged state at a fixed interval, and restore and expire correctly

Cause: the time of the last message was compared with the time at which the next report was requested, so that the interval was 100 or 200 ms depending on how fast the target reported. The list of targets was matched with the current incarnation once, before the first report had named it, so nothing was restored. A plan that expired before its start made its models routable again without a new inventory version, so entries kept routing around them for up to 10 s.

Change: messages without a change every 200 ms, counted between the reports; the list is kept until the incarnation is known; a change of the routable models raises the inventory version.

Before: 40 reports gave 40 messages at no latency and 20 at 2 ms; the two other tests fail. After: 20 at any latency; they pass.

--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -25,11 +25,11 @@
 )
 
 const (
-	reportInterval       = 100 * time.Millisecond // between two requests for a report, and least time between two state messages without a change
+	reportInterval       = 100 * time.Millisecond // between two requests for a report
+	stateInterval        = 2 * reportInterval     // between two state messages without a change
 	urgentReportInterval = 4 * time.Millisecond   // while requests wait for an adapter, which loads in 5 to 14 ms, or an order waits for a report
 	fullStateInterval    = 10 * time.Second       // between two full messages to a subscriber when the inventory does not change
 	fullStateRetryDelay  = 300 * time.Millisecond // before a subscriber that does not acknowledge a change is sent the full state again
-	subscriptionTTL      = 3 * time.Second        // a subscription that is not renewed expires after this
 	configRetryDelay     = 300 * time.Millisecond // after a failed read of the configuration
 	configCheckInterval  = 2 * time.Second        // between two checks whether entries have announced a newer configuration, and before an invalid one is read again
 	configWatchTimeout   = 3 * time.Second        // of a watch for the first configuration; bounds how long a dead connection goes unnoticed
@@ -66,10 +66,12 @@
 	messageNumber    uint64 // of the last state message
 	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
 	report           directory.Report
-	reachable        bool      // the last request for a report succeeded
-	reportPending    bool      // a request for a report is under way
-	restoreTried     bool      // restoreModels has been called; accessed only by followConfiguration
-	lastSent         time.Time // when the state was last sent
+	reachable        bool                      // the last request for a report succeeded
+	reportPending    bool                      // a request for a report is under way
+	restoreTried     bool                      // restoreModels has been called; accessed only by followConfiguration
+	nextState        time.Time                 // a report requested at or after this time is sent even if nothing has changed
+	listedTargets    []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
+	routableModels   []directory.ResidentModel // in the last state sent
 }
 
 // New returns a Sidecar; Run starts it.
@@ -194,6 +196,10 @@
 		return
 	}
 	order, ok := sidecar.controller.NextOrder(sidecar.options.Clock.Now())
+	if sidecar.reachable && !reflect.DeepEqual(sidecar.routableModels, sidecar.controller.RoutableModels()) {
+		sidecar.inventoryVersion++ // a plan ended without its unloads
+		sidecar.sendState()
+	}
 	if !ok {
 		return
 	}
@@ -285,17 +291,28 @@
 		return
 	}
 	sidecar.control.Post(func() {
-		for _, target := range targets {
-			earlier := target.StartedAt() < sidecar.targetStartedAt && target.ID() != sidecar.targetID
-			if target.Address() == sidecar.options.Target && earlier && len(target.Models()) > 0 {
-				sidecar.log.Infof("target held %d models in its earlier incarnation %s", len(target.Models()), target.ID())
-				sidecar.controller.SetRestore(target.Models())
-			}
-		}
+		sidecar.listedTargets = targets
+		sidecar.queueRestore()
 		sidecar.advance(ctx)
 	})
 }
 
+// queueRestore passes the models of the target's earlier incarnation to the controller,
+// once both the list of targets and the current incarnation are known.
+func (sidecar *Sidecar) queueRestore() {
+	if sidecar.targetID == "" {
+		return
+	}
+	for _, target := range sidecar.listedTargets {
+		earlier := target.StartedAt() < sidecar.targetStartedAt && target.ID() != sidecar.targetID
+		if target.Address() == sidecar.options.Target && earlier && len(target.Models()) > 0 {
+			sidecar.log.Infof("target held %d models in its earlier incarnation %s", len(target.Models()), target.ID())
+			sidecar.controller.SetRestore(target.Models())
+		}
+	}
+	sidecar.listedTargets = nil
+}
+
 // sleep waits for the duration or until ctx ends.
 func (sidecar *Sidecar) sleep(ctx context.Context, duration time.Duration) {
 	select {
@@ -352,10 +369,8 @@
 
 // handleReport handles a report or the failure to get one. It sends the state to
 // the entries at once if the target's models, loading adapters, orders or draining
-// have changed or the target answers again, and otherwise if the report was
-// requested at least reportInterval after the last message was sent. A message is
-// sent later than its report was requested, so the next report, requested about
-// reportInterval after that one, is often too early and only the second is sent.
+// have changed or the target answers again, and otherwise every stateInterval, counted
+// from when the reports were requested.
 func (sidecar *Sidecar) handleReport(report directory.Report, id string, err error) {
 	if err != nil {
 		if sidecar.reachable {
@@ -368,6 +383,7 @@
 	if id != "" {
 		sidecar.log.Infof("target is %s, started at Unix ms %d", id, report.StartedAt)
 		sidecar.targetID, sidecar.targetStartedAt = id, report.StartedAt
+		defer sidecar.queueRestore() // after the controller has the report
 	}
 	if !sidecar.reachable {
 		sidecar.log.Infof("regained the target")
@@ -380,11 +396,15 @@
 	if changed {
 		sidecar.inventoryVersion++
 	}
-	if changed || report.At.Sub(sidecar.lastSent) >= reportInterval {
+	if changed || !report.At.Before(sidecar.nextState) {
 		sidecar.sendState()
 	}
 }
 
+// stateTolerance is how much earlier than stateInterval a report may have been requested
+// that is sent, so that an early timer does not postpone it to the next report.
+const stateTolerance = reportInterval / 4
+
 // sendState sends the target's state to the subscribed entries: the full state
 // when the inventory version has changed or fullStateInterval has passed, else a
 // message without the inventory. It removes expired subscriptions.
@@ -393,11 +413,12 @@
 		return
 	}
 	now := sidecar.options.Clock.Now()
-	sidecar.lastSent = now
+	sidecar.nextState = sidecar.report.At.Add(stateInterval - stateTolerance)
+	sidecar.routableModels = sidecar.controller.RoutableModels()
 	sidecar.messageNumber++
 	state := sidecar.state(now)
 	for address, subscriber := range sidecar.subscribers {
-		if now.Sub(subscriber.renewed) > subscriptionTTL {
+		if now.Sub(subscriber.renewed) > wire.SubscriptionTTL {
 			delete(sidecar.subscribers, address)
 			continue
 		}
--- a/agent/sidecar/sidecar_test.go
+++ b/agent/sidecar/sidecar_test.go
@@ -16,6 +16,7 @@
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/metric"
+	"endiverill.example/kernel/orders"
 	"endiverill.example/kernel/wire"
 )
 
@@ -144,3 +145,75 @@
 	again := subscriber.nextFull(5 * reportInterval)
 	assert.Assert(t, again != nil && again.InventoryVersion == first.InventoryVersion, "expected the full state again after the entry has lost it")
 }
+
+// newIdleSidecar returns a sidecar that does not run, so that a test can drive it in its
+// own goroutine.
+func newIdleSidecar(t *testing.T, now time.Time) (*Sidecar, *clock.Fake) {
+	t.Helper()
+	fake := clock.NewFake(now)
+	return New(Options{
+		Name: "agent", Target: "10.0.0.1:80", Engine: idleEngine{}, Source: unavailableSource{},
+		Clock: fake, Logs: logs.Discard(), Metrics: metric.New(t.Name()),
+	}), fake
+}
+
+// The rate of the messages must not depend on how long the target takes to report.
+func TestUnchangedStateIsSentEveryStateInterval(t *testing.T) {
+	for _, latency := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
+			for range 40 {
+				report := directory.Report{At: fake.Now(), StartedAt: 7}
+				fake.Advance(latency)
+				sidecar.handleReport(report, "i-1", nil)
+				fake.Advance(reportInterval - latency)
+			}
+			assert.Equal(t, sidecar.messageNumber, uint64(40*reportInterval/stateInterval))
+		})
+	}
+}
+
+func listedTarget(id string, startedAt int64) *directory.Target {
+	return directory.NewTarget(directory.TargetSpec{
+		ID: id, StartedAt: startedAt, Service: "s", Address: "10.0.0.1:80", Slots: 1, Models: []directory.ResidentModel{{Model: "m"}},
+	})
+}
+
+func testService() *directory.Service {
+	return directory.NewService(directory.ServiceSpec{Name: "s", Engine: &directory.EngineSpec{
+		MemoryMegabytes: 100, Models: []*directory.Model{
+			directory.NewModel(directory.ModelSpec{Name: "m", WeightsMegabytes: 10}), directory.NewModel(directory.ModelSpec{Name: "n", WeightsMegabytes: 10}),
+		},
+	}})
+}
+
+// The list of targets may be read before the first report tells which incarnation of the
+// target runs now.
+func TestModelsAreRestoredWhenListComesBeforeFirstReport(t *testing.T) {
+	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
+	sidecar.controller.SetService(testService())
+	sidecar.listedTargets = []*directory.Target{listedTarget("i-0", 5), listedTarget("i-1", 7)}
+	sidecar.queueRestore()
+	sidecar.handleReport(directory.Report{At: fake.Now(), StartedAt: 7, DiskModels: []string{"m"}}, "i-1", nil)
+	order, ok := sidecar.controller.NextOrder(fake.Now())
+	assert.Assert(t, ok && order.Load && order.Model == "m", "%v", order)
+}
+
+// Entries stop routing to the models that an accepted plan unloads. When the plan expires
+// before it starts, they must learn that the models stay.
+func TestEntriesAreToldWhenPlanExpires(t *testing.T) {
+	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
+	sidecar.fence = 1
+	report := directory.Report{At: fake.Now(), StartedAt: 7, Busy: true, Models: []directory.ResidentModel{{Model: "m"}}}
+	sidecar.handleReport(report, "i-1", nil)
+	from := netip.MustParseAddrPort("10.0.0.9:1")
+	plan := orders.Plan{ID: 1, From: from.String(), Fence: 1, Unload: []string{"m"}, Load: "n", StartBy: fake.Now().Add(time.Second)}
+	assert.Assert(t, sidecar.controller.AcceptPlan(plan, fake.Now()))
+	sidecar.sendState()
+	assert.Equal(t, len(sidecar.state(fake.Now()).Models), 0)
+	before := sidecar.inventoryVersion
+	fake.Advance(2 * time.Second)
+	sidecar.advance(context.Background())
+	assert.Equal(t, len(sidecar.state(fake.Now()).Models), 1)
+	assert.Assert(t, sidecar.inventoryVersion > before, "the entries keep the state without the model")
+}
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -11,6 +11,10 @@
 // MaxDatagramBytes is the largest datagram that is sent or received.
 const MaxDatagramBytes = 60 << 10
 
+// SubscriptionTTL is how long an agent sends its state to an entry that has sent it no
+// message, and lists that entry in TargetState.Entries.
+const SubscriptionTTL = 3 * time.Second
+
 // NamedValue is a number with a name, such as a counter of one customer or model.
 type NamedValue struct {
 	Name  string
