Reuse the rate share of a silent entry only once it has stopped

Cause: after 30 s of silence a peer counted as stopped, so that the halves of a fleet that was partitioned for longer spent the rate twice. A stopping entry told its peers at the start of its drain and went on sending state, so that they added it again.

Ruled out: a majority of entries as the arbiter. A lone survivor would have to refuse its customers for good, and the losing side cannot know that it lost.

Change: an entry counts as stopped when the agents of all engines have listed their subscribers without it since its last message; an entry that reaches any target is listed there. Leaving is announced after the drain, as the last message.

After: within the limit, also with stops and partitions of 31 s in the property test; the share of a stopped entry is used again.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -27,6 +27,7 @@
 	housekeepingInterval = time.Second
 	maxHeaderBytes       = 32 << 10                // of a request header; twice the usual configured limit
 	maxBodyBytes         = 8 << 20                 // of a request body; twice the usual configured limit
+	defaultTimeout       = time.Minute             // of a request whose route and caller state none
 	responseMargin       = 4 * time.Millisecond    // reserved for the response's way back to the caller
 	defaultRetryAfter    = 500 * time.Millisecond  // of faults for which there is no estimate
 	retryAfterStop       = 50 * time.Millisecond   // of the fault of a stopping instance; another instance accepts the request
@@ -221,7 +222,7 @@
 	return gateway.current.Load() != nil && gateway.targetsKnown.Load() && !gateway.stopping.Load()
 }
 
-// expirePeriodically drops the spending reports of peers that no longer send any,
+// expirePeriodically drops the spending reports of peers that have stopped,
 // and closes idle connections that have expired or whose target is not in force.
 func (gateway *Gateway) expirePeriodically(ctx context.Context) error {
 	for {
@@ -230,8 +231,9 @@
 			return nil
 		case <-gateway.clock.After(housekeepingInterval):
 		}
+		stopped := gateway.peers.stoppedEntries()
 		gateway.mu.Lock()
-		gateway.limiter.ExpirePeers(gateway.clock.Now())
+		gateway.limiter.ExpirePeers(gateway.clock.Now(), stopped)
 		gateway.mu.Unlock()
 		gateway.pool.Retain(gateway.syncer.addresses())
 	}
@@ -247,7 +249,6 @@
 func (gateway *Gateway) Stop(ctx context.Context) error {
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
-	gateway.peers.leave()
 	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
 	drainEnd := end.Add(-maxPlainDuration)
@@ -265,6 +266,7 @@
 	for gateway.callers.activeRequests() > 0 && gateway.clock.Now().Before(end) && ctx.Err() == nil {
 		gateway.sleep(ctx, stopPollInterval)
 	}
+	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
 	gateway.log.Infof("stopped, %d requests were open", gateway.callers.activeRequests())
 	return ctx.Err()
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -37,6 +37,7 @@
 	sendNow      chan struct{}                                    // starts the next round of messages early
 	mu           sync.Mutex                                       // guards the fields below
 	rounds       uint64                                           // rounds of messages sent
+	left         bool                                             // this instance has told the others that it has stopped
 	modelMissing bool                                             // since the last round, a request asked for a model that no target holds
 	entries      map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
 	results      map[uint64]chan *wire.CommandResult              // channels for the results of commands, by command ID
@@ -48,8 +49,9 @@
 
 // agentState is an agent's last message and its time of arrival.
 type agentState struct {
-	state *wire.TargetState
-	at    time.Time
+	state  *wire.TargetState
+	at     time.Time
+	fullAt time.Time // arrival of the last message that listed the subscribed entries
 }
 
 // peerState holds the state from another entry's last message.
@@ -151,12 +153,16 @@
 	return members
 }
 
-// leave notifies the other instances once that this one is stopping, and entries
-// remove it. The rounds that follow while it drains do not say so, and an entry that
-// receives one adds this entry again.
-func (peers *peers) leave() { peers.sendState(true) }
+// leave notifies the other instances that this one has stopped, and entries remove it.
+// No message follows, since an entry that received one would add this entry again.
+func (peers *peers) leave() {
+	peers.sendState(true)
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	peers.left = true
+}
 
-// sendState sends this instance's state to entries and agents.
+// sendState sends this instance's state to entries and agents, unless it has left.
 func (peers *peers) sendState(leaving bool) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
@@ -172,7 +178,7 @@
 	state.PlanFence = gateway.planner.fence()
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	if peers.socket == nil {
+	if peers.socket == nil || peers.left {
 		return
 	}
 	state.Demand = listNamedValues(peers.demand)
@@ -272,6 +278,33 @@
 	return fence
 }
 
+// stoppedEntries returns a function that reports whether another entry is known to have
+// stopped since its last message. An entry subscribes at the agents of all engines, so
+// one that runs and reaches any target is listed by that target's agent. It counts as
+// stopped once every agent has listed its subscribers without it.
+func (peers *peers) stoppedEntries() func(name string, lastMessage time.Time) bool {
+	engines := peers.gateway.syncer.engineTargets()
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	var oldestList time.Time // zero if an agent's list is missing
+	subscribed := map[string]bool{}
+	for index, target := range engines {
+		last := peers.agentStates[target.Key()]
+		if index == 0 || last.fullAt.Before(oldestList) {
+			oldestList = last.fullAt
+		}
+		if last.state == nil {
+			continue
+		}
+		for _, entry := range last.state.Entries {
+			subscribed[entry] = true
+		}
+	}
+	return func(name string, lastMessage time.Time) bool {
+		return !subscribed[name] && oldestList.After(lastMessage.Add(wire.SubscriptionTTL))
+	}
+}
+
 // recordAdapterUse records that a request uses an adapter, so that the agent
 // keeps it resident.
 func (peers *peers) recordAdapterUse(key directory.TargetKey, request *dispatch.Request) {
--- /dev/null
+++ b/entry/gateway/peers_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/datagram"
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/logs"
+	"endiverill.example/kernel/metric"
+	"endiverill.example/kernel/wire"
+)
+
+// newIdleGateway returns a gateway that does not run.
+func newIdleGateway(t *testing.T, now clock.Clock) *Gateway {
+	t.Helper()
+	return New(Options{Name: "e", IP: "127.0.0.1", PeerPort: 1, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, Clock: now, Logs: logs.Discard(), Metrics: metric.New(t.Name())})
+}
+
+func listen4(t *testing.T) *datagram.Socket {
+	t.Helper()
+	socket, err := datagram.Listen(context.Background(), "127.0.0.1:0", func(string, int64) {})
+	assert.NilError(t, err)
+	return socket
+}
+
+// An entry that received a later message would add the sender again and reserve a share
+// of the rates for it.
+func TestNoStateIsSentAfterLeaving(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	gateway := newIdleGateway(t, clock.System{})
+	gateway.peers.socket = listen4(t)
+	gateway.peers.addEntry(conn.LocalAddr().String())
+	gateway.peers.sendState(false)
+	gateway.peers.leave()
+	gateway.peers.sendState(false)
+	var leaving []bool
+	buf := make([]byte, wire.MaxDatagramBytes)
+	for {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+		size, err := conn.Read(buf)
+		if err != nil {
+			break
+		}
+		message, err := wire.DecodeDatagram(buf[:size])
+		assert.NilError(t, err)
+		leaving = append(leaving, message.(*wire.EntryState).Leaving)
+	}
+	assert.DeepEqual(t, leaving, []bool{false, true})
+}
+
+// An entry counts as stopped only when the agents of all engines have listed their
+// subscribers without it, after its last message.
+func TestStoppedEntriesNeedsListsOfAllAgents(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fake := clock.NewFake(now)
+	gateway := newIdleGateway(t, fake)
+	gateway.current.Store(directory.New(directory.Spec{Version: 1, Services: []*directory.Service{
+		directory.NewService(directory.ServiceSpec{Name: "llm", Engine: &directory.EngineSpec{}}),
+	}}))
+	var targets []*directory.Target
+	for index := range 2 {
+		targets = append(targets, directory.NewTarget(directory.TargetSpec{
+			ID: fmt.Sprint(index), StartedAt: 1, Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", index), Slots: 1,
+		}))
+	}
+	gateway.syncer.targets = targets
+	receive := func(index int, full bool, entries ...string) {
+		gateway.peers.receiveTarget(netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:9", index)), &wire.TargetState{
+			Target: fmt.Sprint(index), StartedAt: 1, Number: uint64(fake.Now().Unix()), Full: full, InventoryVersion: 1, Entries: entries,
+		})
+	}
+	const silent, running = "10.1.0.1:7", "10.1.0.2:7"
+	stopped := func(name string) bool { return gateway.peers.stoppedEntries()(name, now) }
+	fake.Advance(4 * time.Second)
+	receive(0, true, running)
+	assert.Assert(t, !stopped(silent), "the other agent has listed no subscribers")
+	receive(1, true, silent)
+	assert.Assert(t, !stopped(silent), "the entry is subscribed at a target")
+	receive(1, true, running)
+	assert.Assert(t, stopped(silent) && !stopped(running))
+	fake.Advance(time.Minute)
+	receive(0, false)
+	lastMessage := fake.Now().Add(-10 * time.Second)
+	assert.Assert(t, !gateway.peers.stoppedEntries()(silent, lastMessage), "the lists are older than the entry's last message")
+}
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -85,14 +85,16 @@
 		peers.mu.Unlock()
 		return // a newer message arrived first
 	}
+	fullAt := now
 	if !state.Full {
+		fullAt = before.fullAt
 		if !known || before.state.InventoryVersion != state.InventoryVersion {
 			peers.mu.Unlock()
 			return // refers to a full message that has not arrived; the agent sends another
 		}
 		state.CopyInventory(before.state)
 	}
-	peers.agentStates[key] = agentState{state: state, at: now}
+	peers.agentStates[key] = agentState{state: state, at: now, fullAt: fullAt}
 	for other, stored := range peers.agentStates {
 		if now.Sub(stored.at) > stateRetention {
 			delete(peers.agentStates, other)
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -4,9 +4,8 @@
 // other periodically, and each entry keeps a token bucket that models the whole fleet.
 // An entry whose reports stop arriving is assumed to spend an even share of the rate,
 // and an entry that receives no reports limits itself to its own even share, so that a
-// partitioned fleet stays within the rate. This ends after peerExpiry without reports,
-// when the other entry is taken to have stopped; in a partition that lasts longer, the
-// fleet may exceed the rate. In addition to the bucket, a sliding window limits spending
+// partitioned fleet stays within the rate. The share of a silent entry is used again
+// only once that entry is known to have stopped. In addition to the bucket, a sliding window limits spending
 // to the rate times the window length plus the burst. The package does no I/O and is not
 // safe for concurrent use; package gateway guards the Limiter with a lock and exchanges
 // the reports. Package quota limits rates in another way, by shares of them.
@@ -20,7 +19,7 @@
 
 const (
 	peerTimeoutPeriods = 2.25             // report periods without a report after which a peer counts as unreachable
-	peerExpiry         = 30 * time.Second // a peer without reports for this long is taken to have stopped
+	peerExpiry         = 30 * time.Second // a peer that has stopped is removed after this long without reports
 	maxRetryAfter      = 5 * time.Second  // longest wait that Take returns
 	headroom           = time.Second      // a bucket holds the inflow of this time beyond the burst, so that uneven arrivals within the window are admitted
 	windowSlices       = 32               // time slices of equal length into which the sliding window is divided
@@ -277,10 +276,12 @@
 // RemovePeer removes a peer that announced its shutdown.
 func (limiter *Limiter) RemovePeer(name string) { delete(limiter.peers, name) }
 
-// ExpirePeers removes peers that have sent no report for peerExpiry.
-func (limiter *Limiter) ExpirePeers(now time.Time) {
+// ExpirePeers removes peers that have sent no report for peerExpiry and are known to
+// have stopped. Silence alone is no sign of that: a peer behind a partition may go on
+// spending its even share.
+func (limiter *Limiter) ExpirePeers(now time.Time, stopped func(name string, lastReport time.Time) bool) {
 	for name, peer := range limiter.peers {
-		if now.Sub(peer.lastReport) > peerExpiry {
+		if now.Sub(peer.lastReport) > peerExpiry && stopped(name, peer.lastReport) {
 			delete(limiter.peers, name)
 		}
 	}
--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -43,6 +44,7 @@
 	entries      []*Limiter
 	incarnations []uint64
 	partitioned  []bool
+	stopped      []bool
 	admitted     []spending
 }
 
@@ -53,17 +55,35 @@
 
 func (fleet *fleet) exchangeReports() {
 	for from, sender := range fleet.entries {
+		if fleet.stopped[from] {
+			continue
+		}
 		sender.MarkReported(fleet.now)
 		for to, receiver := range fleet.entries {
-			if from != to && !fleet.partitioned[from] && !fleet.partitioned[to] {
+			if from != to && !fleet.partitioned[from] && !fleet.partitioned[to] && !fleet.stopped[to] {
 				receiver.ApplyReport(fmt.Sprint(from), fleet.incarnations[from], sender.Spent(), sender.Levels(), fleet.now)
 			}
 		}
+		sender.ExpirePeers(fleet.now, func(name string, _ time.Time) bool {
+			index, err := strconv.Atoi(name)
+			return err == nil && fleet.stopped[index]
+		})
+	}
+}
+
+// wait lets time pass during which the entries exchange reports.
+func (fleet *fleet) wait(duration time.Duration) {
+	for end := fleet.now.Add(duration); fleet.now.Before(end); {
+		fleet.now = fleet.now.Add(period)
+		fleet.exchangeReports()
 	}
 }
 
 func (fleet *fleet) sendRequests(index, count int) {
 	for range count {
+		if fleet.stopped[index] {
+			return
+		}
 		if _, _, ok := fleet.entries[index].Take("c", cost, fleet.now); ok {
 			fleet.admitted = append(fleet.admitted, spending{fleet.now, cost})
 		}
@@ -88,15 +108,12 @@
 // newFleet returns a fleet whose entries have exchanged reports for long enough to
 // fill their buckets.
 func newFleet(t *rapid.T, count int) *fleet {
-	fleet := &fleet{t: t, now: start, partitioned: make([]bool, count)}
+	fleet := &fleet{t: t, now: start, partitioned: make([]bool, count), stopped: make([]bool, count)}
 	for index := range count {
 		fleet.entries = append(fleet.entries, newEntry(start))
 		fleet.incarnations = append(fleet.incarnations, uint64(index))
 	}
-	for range 20 {
-		fleet.now = fleet.now.Add(period)
-		fleet.exchangeReports()
-	}
+	fleet.wait(20 * period)
 	return fleet
 }
 
@@ -111,20 +128,57 @@
 		fleet := newFleet(t, rapid.IntRange(1, 5).Draw(t, "entries"))
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			index := rapid.IntRange(0, len(fleet.entries)-1).Draw(t, "entry")
-			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			switch rapid.IntRange(0, 14).Draw(t, "step") {
 			case 0:
 				fleet.partitioned[index] = !fleet.partitioned[index]
 			case 1, 2, 3:
 				fleet.sendRequests(index, rapid.IntRange(1, 200).Draw(t, "requests"))
+			case 4:
+				fleet.stopped[index] = true
+			case 5:
+				fleet.wait(peerExpiry + time.Second)
 			default:
-				fleet.now = fleet.now.Add(period)
-				fleet.exchangeReports()
+				fleet.wait(period)
 			}
 			fleet.checkRateBound(absoluteSlack)
 		}
 	})
 }
 
+// Each half of a fleet that is partitioned for longer than peerExpiry must not take the
+// other for stopped, or the two spend twice the rate.
+func TestLongPartitionDoesNotDoubleRate(t *testing.T) {
+	fleet := newFleet(nil, 2)
+	fleet.partitioned[0], fleet.partitioned[1] = true, true
+	fleet.wait(peerExpiry + window)
+	fleet.admitted = nil
+	for range int(window / period) {
+		fleet.wait(period)
+		for index := range fleet.entries {
+			fleet.sendRequests(index, 200)
+		}
+	}
+	sum := 0.0
+	for _, spending := range fleet.admitted {
+		sum += spending.cost
+	}
+	limit := (rate*window.Seconds() + burst) * (1 + toleratedExcess)
+	assert.Assert(t, sum <= limit, "%v spent within %v, limit %v", sum, window, limit)
+}
+
+func TestShareOfStoppedEntryIsUsedAgain(t *testing.T) {
+	fleet := newFleet(nil, 2)
+	fleet.stopped[1] = true
+	fleet.wait(peerExpiry + window)
+	fleet.admitted = nil
+	for range int(window / period) {
+		fleet.wait(period)
+		fleet.sendRequests(0, 200)
+	}
+	got := float64(len(fleet.admitted)) * cost
+	assert.Assert(t, got > 0.9*rate*window.Seconds(), "%v spent within %v at a rate of %v per second", got, window, rate)
+}
+
 func TestDemandBelowRateIsNotRefused(t *testing.T) {
 	fleet := newFleet(nil, 4)
 	refused := 0
