Close unusable resumed streams, default the deadline, refuse silent services

Cause, each found by reading: a target that answered a resumed stream with another status kept its connection; a request without any timeout had its arrival as deadline and got 503; a request to a plain service whose targets were all silent waited for a model to be loaded.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -178,6 +178,9 @@
 	next, fault := gateway.forward(call)
 	if fault != nil || next.response == nil || next.header.StatusCode() != relay.header.StatusCode() {
 		gateway.metrics.Add("streams.cut", 1)
+		if fault == nil {
+			next.abandon()
+		}
 		return errors.Wrap(errTruncated, "no other target resumed the stream")
 	}
 	gateway.metrics.Add("streams.resumed", 1)
@@ -185,6 +188,14 @@
 	return nil
 }
 
+// abandon ends the attempt without passing its response on.
+func (relay *relay) abandon() {
+	if relay.response != nil {
+		relay.response.Abort()
+	}
+	relay.attempt.end(dispatch.InternalError)
+}
+
 // Close ends the call after the last byte or when the caller has disconnected.
 func (relay *relay) Close() error {
 	if !relay.finished {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -144,7 +144,10 @@
 		return stoppingFault()
 	}
 	call.service = route.PickService(randomFraction())
-	call.deadline = call.arrived.Add(route.Timeout())
+	call.deadline = call.arrived.Add(defaultTimeout)
+	if route.Timeout() > 0 {
+		call.deadline = call.arrived.Add(route.Timeout())
+	}
 	if timeout := call.head.Timeout; timeout > 0 && (route.Timeout() == 0 || timeout < route.Timeout()) {
 		call.deadline = call.arrived.Add(timeout - responseMargin)
 	}
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -50,7 +50,7 @@
 		return best.admit(request, now)
 	case holders > 0:
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
-	case !dispatcher.acceptsWork(request.Service, tried):
+	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
 	return dispatcher.decideNotResident(request, now)
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -441,3 +441,15 @@
 		}
 	})
 }
+
+// A request without a model does not wait for a model to be loaded.
+func TestPlainRequestIsRefusedWhileAllTargetsAreSilent(t *testing.T) {
+	dispatcher := NewDispatcher("here")
+	target := directory.NewTarget(directory.TargetSpec{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4})
+	dispatcher.SetTargets([]*directory.Target{target})
+	dispatcher.SetReport(target.Key(), directory.Report{At: start})
+	request := &Request{Service: "app", Arrived: start, StartBy: start.Add(20 * time.Second), Deadline: start.Add(20 * time.Second)}
+	dispatcher.RecordSent(target.Key(), request, start)
+	decision := dispatcher.Choose(request, nil, start.Add(2*time.Second))
+	assert.DeepEqual(t, decision, Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter})
+}
