End an exchange whose context ended while a trailer was read

Cause: readTrailer removes the read deadline, also one that the end of the context had set to stop the exchange, and the next read then blocked. Before: TestReadTrailerFailsWhenContextHasEnded gets no error. After: it passes.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -47,8 +47,9 @@
 	request    Request
 	conn       *conn
 	body       io.Reader
-	complete   bool        // the body has been read to its end
-	stopCancel func() bool // detaches the exchange from ctx; false if ctx has already ended
+	complete   bool         // the body has been read to its end
+	ctxErr     func() error // the error of ctx once it has ended
+	stopCancel func() bool  // detaches the exchange from ctx; false if ctx has already ended
 }
 
 // Do sends the request and reads the header of its response. When ctx ends, reads
@@ -61,7 +62,7 @@
 		return nil, false, err
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	response = &Response{pool: pool, request: request, conn: conn, stopCancel: stopCancel}
+	response = &Response{pool: pool, request: request, conn: conn, ctxErr: ctx.Err, stopCancel: stopCancel}
 	if err := response.send(); err != nil {
 		response.Close()
 		return nil, true, err
@@ -236,6 +237,9 @@
 	if err == nil {
 		err = response.conn.SetReadDeadline(time.Time{})
 	}
+	if err == nil {
+		err = response.ctxErr() // the call above may have removed the deadline that ended the exchange
+	}
 	if err == nil && strings.TrimSpace(line) != "" {
 		err = errors.New("expected an empty trailer section after the chunked body, got trailer fields")
 	}
--- a/entry/exchange/exchange_test.go
+++ b/entry/exchange/exchange_test.go
@@ -185,6 +185,32 @@
 	assert.Assert(t, errors.Is(err, ErrNotSent))
 }
 
+// cancellingConn cancels a context when it is read.
+type cancellingConn struct {
+	net.Conn
+	data   string
+	cancel context.CancelFunc
+}
+
+// Read cancels the context and returns the data.
+func (cancellingConn *cancellingConn) Read(buf []byte) (int, error) {
+	cancellingConn.cancel()
+	return copy(buf, cancellingConn.data), nil
+}
+
+// SetReadDeadline does nothing, as if the deadline that ends the exchange came first.
+func (cancellingConn *cancellingConn) SetReadDeadline(time.Time) error { return nil }
+
+// The exchange may end while the end of a chunked body is read. The deadline that makes
+// the next read fail is removed then, so that read would block.
+func TestReadTrailerFailsWhenContextHasEnded(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	raw := &cancellingConn{data: "\r\n", cancel: cancel}
+	response := &Response{conn: &conn{Conn: raw, reader: bufio.NewReader(raw)}, ctxErr: ctx.Err}
+	response.Header.SetContentLength(-1)
+	assert.Assert(t, errors.Is(response.readTrailer(), context.Canceled))
+}
+
 func TestRetainClosesConnectionsToUnlistedTargets(t *testing.T) {
 	address, accepted := startTarget(t, okResponse("1", "one"), okResponse("2", "two"))
 	pool := newPool()
