Return the server's error, and count only the target's own failures

Cause: Run compared with the context of its group, which ends with the first error, and returned nil. Attempts that the entry cancelled for its caller ejected healthy targets. A caller that left during a stream was recorded as a cut stream and consumed the error budget. A request was charged before its key was checked again and not refunded. Tried kept 4 of up to 10 replicas.

Change: the caller's context decides; a cancelled request is no failure; the second check of the key comes before the charge, so no refund can be missed; Tried holds as many replicas as the setting allows.

--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -28,6 +28,7 @@
 	nextPosition uint64
 	sentAt       time.Time
 	closed       bool
+	requestErr   func() error // the error of the request's context once that has ended
 }
 
 // openAttempt sends the request to the agent of a replica. The caller closes the
@@ -39,6 +40,7 @@
 		attempt.request.Nonce = uuid.NewString()
 	}
 	attempt.request.Timeout = deadline.Sub(now)
+	attempt.requestErr = ctx.Err
 	ctx, attempt.cancel = context.WithCancel(ctx)
 	attempt.frameTimer = time.AfterFunc(entry.limits.frameTimeout, attempt.cancel)
 	attempt.endRequest = replica.BeginRequest()
@@ -52,12 +54,14 @@
 	return attempt, nil
 }
 
-// linkFault records a failed link and returns the fault to report. An attempt that the
-// entry itself cancelled, for example because the caller left, counts as a failed link
-// too. The request is known not to have run only if the agent was never reached.
+// linkFault records a failed link and returns the fault to report. A request that was
+// cancelled, for example because the caller left, is no failure of the link. The request
+// is known not to have run only if the agent was never reached.
 func (attempt *attempt) linkFault(err error) *code.Fault {
-	attempt.replica.RecordFailure(attempt.entry.Clock().Now())
-	attempt.entry.recordAgentFailure(attempt.replica.Name())
+	if !errors.Is(attempt.requestErr(), context.Canceled) {
+		attempt.replica.RecordFailure(attempt.entry.Clock().Now())
+		attempt.entry.recordAgentFailure(attempt.replica.Name())
+	}
 	if errors.Is(err, rpc.ErrNotSent) {
 		return code.New(code.NoReplica, code.RanNo, "the agent of target %s was not reached", attempt.replica.Name())
 	}
--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -142,8 +142,7 @@
 	entry.decisions.recordServiceLevel(key, completion.timing.missCause(completion.fault), now)
 }
 
-// openNext opens an attempt at a target that is not in routeRequest.Tried, which holds
-// the last few that were tried. If there is none, it reports the model to the planner.
+// openNext opens an attempt at a target that has not been tried. If there is none, it reports the model to the planner.
 func (completion *completion) openNext() *code.Fault {
 	entry := completion.entry
 	current := entry.snapshot.Load()
@@ -341,7 +340,9 @@
 }
 
 func (completion *completion) writeErrorEvent(writer *bufio.Writer, err *code.Fault) {
-	if err.Code() != code.KeyWithdrawn && err.Code() != code.DeadlinePassed {
+	switch err.Code() {
+	case code.KeyWithdrawn, code.DeadlinePassed, code.CallerGone:
+	default:
 		err = code.New(code.StreamCut, code.RanYes, "the answer was cut off after %d tokens: %s", completion.generatedTokens, err.Message())
 	}
 	completion.fault = err
--- a/entry/entry/decisionlog.go
+++ b/entry/entry/decisionlog.go
@@ -106,9 +106,7 @@
 
 // missCause returns why a request missed the service level objective, empty if it met
 // the objective. Requests above the customer's own rate, and those whose caller
-// disconnected before the response began, count as having met it. If the caller
-// disconnects during a stream, the request ends with code.StreamCut, which is a miss, or,
-// when a write to the caller fails first, without a fault. A request that is not streamed
+// disconnected, count as having met it. A request that is not streamed
 // has no token times, so only a fault counts as a miss.
 func (tokenTiming *tokenTiming) missCause(err *code.Fault) string {
 	switch {
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -149,10 +149,12 @@
 	return peers
 }
 
-// Run serves callers and peers until ctx ends. For a graceful stop, call Stop before
+// Run serves callers and peers until ctx ends, or returns the error of the first listener
+// or task that fails. For a graceful stop, call Stop before
 // ctx ends.
 func (entry *Entry) Run(ctx context.Context, callers, peers net.Listener) error {
 	entry.peerAddress = peers.Addr().String()
+	stopped := ctx.Err
 	group, ctx := errgroup.WithContext(ctx)
 	if err := entry.Start(ctx, group); err != nil {
 		return err
@@ -168,7 +170,7 @@
 	})
 	entry.log.Infof("serving callers on %s and peers on %s", callers.Addr(), peers.Addr())
 	err := group.Wait()
-	if ctx.Err() != nil {
+	if stopped() != nil {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/entry/entry/entry_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/code"
+	"endiverill.example/kernel/instance"
+	"endiverill.example/kernel/logs"
+	"endiverill.example/kernel/route"
+)
+
+// newIdleEntry returns an entry that does not run.
+func newIdleEntry(t *testing.T) *Entry {
+	t.Helper()
+	values := Settings().Defaults().With("instance", t.Name()).With("store.address", "127.0.0.1:1")
+	base, err := instance.New("entry", values, logs.Discard(), clock.System{})
+	assert.NilError(t, err)
+	entry, err := New(base)
+	assert.NilError(t, err)
+	return entry
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+// brokenListener is a listener that cannot accept connections.
+type brokenListener struct{ net.Listener }
+
+// Accept returns an error.
+func (brokenListener brokenListener) Accept() (net.Conn, error) {
+	return nil, errors.New("too many open files")
+}
+
+func TestRunReturnsErrorOfCallerListener(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	err := newIdleEntry(t).Run(ctx, brokenListener{listen(t)}, listen(t))
+	assert.ErrorContains(t, err, "serve callers")
+}
+
+func TestRunReturnsNoErrorAfterItsContextEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NilError(t, newIdleEntry(t).Run(ctx, listen(t), listen(t)))
+}
+
+// A caller that leaves does not show that the target is unhealthy.
+func TestCancelledRequestIsNoFailureOfItsTarget(t *testing.T) {
+	for name, test := range map[string]struct {
+		requestErr error
+		ejected    bool
+	}{
+		"cancelled":       {context.Canceled, false},
+		"deadline passed": {context.DeadlineExceeded, true},
+		"link broken":     {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := newIdleEntry(t)
+			replica := route.NewReplica("t", "d", "127.0.0.1:1", 1, entry.Clock().Now())
+			attempt := &attempt{entry: entry, replica: replica, requestErr: func() error { return test.requestErr }}
+			for range 3 {
+				_ = attempt.linkFault(errors.New("broken"))
+			}
+			assert.Equal(t, replica.Ejected(entry.Clock().Now()), test.ejected)
+		})
+	}
+}
+
+// A caller that leaves during a stream must not consume the error budget.
+func TestCallerLeavingDuringStreamMeetsObjective(t *testing.T) {
+	completion := &completion{entry: newIdleEntry(t), call: &call{id: "1"}, generatedTokens: 3}
+	completion.writeErrorEvent(bufio.NewWriter(&bytes.Buffer{}), code.New(code.CallerGone, code.RanYes, "the caller went away"))
+	assert.Equal(t, completion.fault.Code(), code.CallerGone)
+	assert.Equal(t, completion.timing.missCause(completion.fault), "")
+}
--- a/entry/entry/plainservice.go
+++ b/entry/entry/plainservice.go
@@ -38,13 +38,23 @@
 }
 
 // servePlain charges the request, unless its route is open, and sends it to the plain
-// service of the route. The charge is refunded if the request did not run, except if
-// its key was withdrawn between authentication and registration.
+// service of the route. The charge is refunded if the request did not run.
 func (entry *Entry) servePlain(ctx *fasthttp.RequestCtx, call *call, route config.Route) *code.Fault {
 	request := entry.newRequest(ctx, call)
 	request.Body = append([]byte(nil), ctx.PostBody()...)
 	request.Idempotent = route.Idempotent()
 	request.Tokens = plainCost(len(request.Body))
+	requestCtx, cancel := context.WithDeadline(context.Background(), call.deadline)
+	defer cancel()
+	var cancellable *cancellableRequest
+	if route.Idempotent() {
+		var unregister func()
+		cancellable, unregister = entry.cancellable.add(call, cancel)
+		defer unregister()
+		if err := entry.checkStillGranted(call); err != nil {
+			return err
+		}
+	}
 	charged := call.customer.Name() != ""
 	if charged {
 		if err := entry.quota.Reserve(call.customer.Name(), request.Tokens); err != nil {
@@ -52,16 +62,9 @@
 		}
 	}
 	entry.retryBudget.RecordRequest()
-	requestCtx, cancel := context.WithDeadline(context.Background(), call.deadline)
-	defer cancel()
 	var err *code.Fault
 	if route.Idempotent() {
 		go watchCaller(requestCtx, ctx.Conn(), cancel)
-		cancellable, unregister := entry.cancellable.add(call, cancel)
-		defer unregister()
-		if err := entry.checkStillGranted(call); err != nil {
-			return err
-		}
 		err = entry.serveIdempotent(requestCtx, ctx, call, request, serviceGroup(route.Service()))
 		if err != nil && cancellable.withdrawn.Load() {
 			err = code.New(code.KeyWithdrawn, code.RanUnknown, "the key was withdrawn")
--- a/entry/entry/settings.go
+++ b/entry/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endiverill.example/kernel/plugin"
+	"endiverill.example/kernel/route"
 	"endiverill.example/kernel/setting"
 )
 
@@ -17,7 +18,7 @@
 	table.Declare("placement.period", time.Second, setting.DurationBetween(20*time.Millisecond, time.Minute), "", "Time between two rounds of the planner.")
 	table.Declare("placement.lease", 5*time.Second, setting.DurationBetween(200*time.Millisecond, time.Hour), "", "Life of the planner's lease when it is not renewed.")
 	table.Declare("entry.routing", "affinity", setting.OneOf(func() []string { return plugin.Names(plugin.Routing) }), "", "Policy that picks a replica.")
-	table.Declare("entry.attempts", 3, setting.IntBetween(1, 10), "", "Targets that a request may be sent to in all.")
+	table.Declare("entry.attempts", 3, setting.IntBetween(1, route.MaxTried), "", "Targets that a request may be sent to in all.")
 	table.Declare("entry.frame_timeout", 15*time.Second, setting.DurationBetween(50*time.Millisecond, time.Hour), "", "How long an agent may send nothing within an answer.")
 	table.Declare("entry.start_window", 5*time.Second, setting.DurationBetween(50*time.Millisecond, 10*time.Minute), "", "Latest start of a non-idempotent request after its dispatch, on the agent's clock.")
 	table.Declare("entry.status_period", 500*time.Millisecond, setting.DurationBetween(10*time.Millisecond, time.Minute), "", "Time between two questions to the same target about its load.")
--- a/kernel/route/group.go
+++ b/kernel/route/group.go
@@ -90,23 +90,24 @@
 	Tried Tried
 }
 
-const maxTried = 4 // replicas
+// MaxTried is the largest number of replicas that one request may be sent to.
+const MaxTried = 10
 
-// Tried is a set of up to four replicas.
+// Tried is a set of up to MaxTried replicas.
 type Tried struct {
-	replicas [maxTried]*Replica
+	replicas [MaxTried]*Replica
 	length   int
 }
 
 // Add adds a replica. If the set is full, it replaces the oldest one.
 func (tried *Tried) Add(replica *Replica) {
-	tried.replicas[tried.length%maxTried] = replica
+	tried.replicas[tried.length%MaxTried] = replica
 	tried.length++
 }
 
 // Has reports whether the replica is in the set.
 func (tried *Tried) Has(replica *Replica) bool {
-	for index := range min(tried.length, maxTried) {
+	for index := range min(tried.length, MaxTried) {
 		if tried.replicas[index] == replica {
 			return true
 		}
--- a/kernel/route/policy_test.go
+++ b/kernel/route/policy_test.go
@@ -50,3 +50,17 @@
 	_, err := NewPolicy("fastest")
 	assert.ErrorContains(t, err, `"fastest" is unknown; known are affinity, least-loaded, random, round-robin`)
 }
+
+// A request that may be sent to ten replicas must not return to one that it has tried.
+func TestTriedRemembersAllReplicasOfARequest(t *testing.T) {
+	var tried Tried
+	var replicas []*Replica
+	for range MaxTried {
+		replica := NewReplica("r", "d", "a", 1, time.Time{})
+		replicas = append(replicas, replica)
+		tried.Add(replica)
+	}
+	for index, replica := range replicas {
+		assert.Assert(t, tried.Has(replica), "replica %d", index)
+	}
+}
