Keep a reservation after a failed unload, and dispatches until their start-by

Cause: an unload order that was not sent released the reservation of a load whose answer was lost, so the accelerator could be overcommitted. A dispatch was forgotten after agent.outcome_retention even if agent.start_window was longer, and could then start twice.

Before: TestFailedUnloadKeepsReservation and TestDispatchIsKeptUntilItsLatestStart fail. After: they pass.

--- a/agent/agent/agent.go
+++ b/agent/agent/agent.go
@@ -222,7 +222,8 @@
 // It also grants slots, since the engine may have reported more of them.
 func (agent *Agent) sweepOnce() {
 	now := agent.Clock().Now()
-	retention := agent.Values().Duration("agent.outcome_retention")
+	// A dispatch that is forgotten before its latest start could start a second time.
+	retention := max(agent.Values().Duration("agent.outcome_retention"), agent.Values().Duration("agent.start_window"))
 	for nonce, tracked := range agent.state.dispatches {
 		if now.Sub(tracked.since) > retention && (tracked.starter.Done() || !tracked.begun) {
 			delete(agent.state.dispatches, nonce)
--- /dev/null
+++ b/agent/agent/agent_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/instance"
+	"endiverill.example/kernel/intent"
+	"endiverill.example/kernel/logs"
+	"endiverill.example/kernel/memory"
+	"endiverill.example/kernel/placement"
+)
+
+// newIdleAgent returns an agent of which only the control loop runs.
+func newIdleAgent(t *testing.T) *Agent {
+	t.Helper()
+	values := Settings().Defaults().With("instance", t.Name()).With("agent.target", "t").With("store.address", "127.0.0.1:1").
+		With("agent.outcome_retention", time.Second).With("agent.start_window", 10*time.Second)
+	base, err := instance.New("agent", values, logs.Discard(), clock.System{})
+	assert.NilError(t, err)
+	agent := New(base)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = agent.Control().Run(ctx) }()
+	return agent
+}
+
+// A load order whose answer was lost may still arrive after an unload order for the same
+// model could not be sent.
+func TestFailedUnloadKeepsReservation(t *testing.T) {
+	agent := newIdleAgent(t)
+	sentAt := agent.Clock().Now()
+	ledger := memory.New(100, time.Second, sentAt.Add(-time.Hour))
+	ledger.Sync(nil, sentAt)
+	assert.NilError(t, ledger.Reserve("m", "", 60, sentAt))
+	assert.NilError(t, ledger.Unload("m", sentAt))
+	agent.state.ledger = ledger
+	agent.carryOutEffects(context.Background(), []placement.ReconcilerEffect{placement.OrderUnload{Name: "m"}})
+	assert.Assert(t, ledger.Item("m") != nil, "60 of 100 bytes were released")
+}
+
+// A dispatch that is forgotten before its latest start could start a second time when the
+// entry sends it again.
+func TestDispatchIsKeptUntilItsLatestStart(t *testing.T) {
+	agent := newIdleAgent(t)
+	waiting := &trackedDispatch{starter: intent.NewStarter(intent.Dispatch{}, time.Time{}), since: agent.Clock().Now().Add(-5 * time.Second)}
+	kept := false
+	agent.Control().Do(func() {
+		agent.state.dispatches["n"] = waiting
+		agent.sweepOnce()
+		kept = agent.state.dispatches["n"] == waiting
+	})
+	assert.Assert(t, kept, "forgotten 5 s before its latest start")
+}
--- a/agent/agent/reconcile.go
+++ b/agent/agent/reconcile.go
@@ -180,7 +180,8 @@
 	return model.Footprint(), ok
 }
 
-// carryOutEffects carries out the effects of the reconciler.
+// carryOutEffects carries out the effects of the reconciler. It cancels the reservation
+// for a load that the engine refused or has not received.
 func (agent *Agent) carryOutEffects(ctx context.Context, effects []placement.ReconcilerEffect) {
 	if len(effects) == 0 {
 		return
@@ -197,26 +198,26 @@
 				agent.log.Infof("loads model %s", effect.Name)
 				agent.Metrics().Add("moves", 1)
 			}
-			agent.handleOrderResult(effect.Name, agent.client.Load(fence, effect.Name, effect.Model, effect.Footprint))
+			err := agent.client.Load(fence, effect.Name, effect.Model, effect.Footprint)
+			if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrStaleFence) {
+				agent.Control().Do(func() { agent.state.ledger.CancelReservation(effect.Name) })
+			}
+			agent.recordOrderError(effect.Name, err)
 		case placement.OrderUnload:
 			agent.Metrics().Add("orders.unload", 1)
 			agent.log.Infof("unloads model or adapter %s", effect.Name)
-			agent.handleOrderResult(effect.Name, agent.client.Unload(fence, effect.Name))
+			// The reservation stays, whatever the outcome: a load may still arrive.
+			agent.recordOrderError(effect.Name, agent.client.Unload(fence, effect.Name))
 		}
 	}
 }
 
-// handleOrderResult handles the result of an order. It cancels the reservation of a
-// model or adapter that the engine has not yet reported if the engine refused the fencing
-// number or no connection to it could be made.
-func (agent *Agent) handleOrderResult(name string, err error) {
+// recordOrderError counts and logs an order that failed; a nil error is ignored.
+func (agent *Agent) recordOrderError(name string, err error) {
 	if err == nil {
 		return
 	}
 	agent.Metrics().Add("orders.failed", 1)
-	if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrStaleFence) {
-		agent.Control().Do(func() { agent.state.ledger.CancelReservation(name) })
-	}
 	agent.log.Warnf("order for model or adapter %s failed: %v", name, err)
 }
 
