--- a/agent/sidecar/sidecar_test.go
+++ b/agent/sidecar/sidecar_test.go
@@ -217,3 +217,23 @@
 	assert.Equal(t, len(sidecar.state(fake.Now()).Models), 1)
 	assert.Assert(t, sidecar.inventoryVersion > before, "the entries keep the state without the model")
 }
+
+// A command that was on its way while the target restarted was made for models that the
+// target no longer holds.
+func TestCommandForAnotherIncarnationIsRefused(t *testing.T) {
+	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
+	socket, err := datagram.Listen(context.Background(), "127.0.0.1:0", func(string, int64) {})
+	assert.NilError(t, err)
+	sidecar.socket, sidecar.fence = socket, 1
+	sidecar.controller.SetService(testService())
+	sidecar.handleReport(directory.Report{At: fake.Now(), StartedAt: 7}, "i-1", nil)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	for target, accepted := range map[string]bool{"i-0": false, "i-1": true} {
+		sidecar.handleCommand(from, &wire.Command{ID: 1, Target: target, Fence: 1, Load: "m", ValidFor: time.Second}, fake.Now())
+		_, ordered := sidecar.controller.NextOrder(fake.Now())
+		assert.Equal(t, ordered, accepted, "command for %s", target)
+		sidecar.controller = orders.New()
+		sidecar.controller.SetService(testService())
+		sidecar.controller.SetReport(sidecar.report)
+	}
+}
--- a/entry/gateway/syncer_test.go
+++ b/entry/gateway/syncer_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,3 +31,53 @@
 	syncer.applyTargets(nil, both[:1], 0, 2, fake.Now())
 	assert.Equal(t, len(syncer.addresses()), 2)
 }
+
+// versionSource is a directory.Source whose configurations consist of their version.
+type versionSource struct{ directory.Source }
+
+// ParseConfiguration returns an empty configuration with the version in document.
+func (versionSource versionSource) ParseConfiguration(document []byte) (*directory.Directory, error) {
+	version, err := strconv.ParseUint(string(document), 10, 64)
+	return directory.New(directory.Spec{Version: version}), err
+}
+
+// A peer, or a late answer of the store, may bring an older configuration than the one in
+// force, in which withdrawn keys are still valid.
+func TestOlderConfigurationIsNotPutInForce(t *testing.T) {
+	gateway := newIdleGateway(t, clock.NewFake(time.Unix(1000, 0)))
+	gateway.syncer.source = versionSource{}
+	for _, step := range []struct {
+		document string
+		want     uint64
+	}{{"5", 5}, {"4", 5}, {"5", 5}, {"7", 7}, {"no number", 7}, {"6", 7}} {
+		gateway.syncer.applyConfig([]byte(step.document), gateway.clock.Now())
+		assert.Equal(t, gateway.current.Load().Version(), step.want, "after version %s", step.document)
+	}
+}
+
+func TestOlderListOfTargetsIsNotPutInForce(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	syncer := newIdleGateway(t, fake).syncer
+	syncer.applyTargets(nil, []*directory.Target{plainTarget("new", "10.0.0.1:80")}, 0, 2, fake.Now())
+	syncer.applyTargets(nil, []*directory.Target{plainTarget("old", "10.0.0.2:80")}, 0, 1, fake.Now())
+	assert.DeepEqual(t, syncer.addresses(), map[string]bool{"10.0.0.1:80": true})
+}
+
+// Retries of all calls draw on one budget, however many attempts a route allows.
+func TestRetryNeedsBudgetAndAttempts(t *testing.T) {
+	gateway := newIdleGateway(t, clock.System{})
+	newCall := func(sends int) *call {
+		route := directory.NewRoute(directory.RouteSpec{Kind: directory.Idempotent, Attempts: 3})
+		return &call{gateway: gateway, route: route, sends: sends, ctx: context.Background()}
+	}
+	assert.Assert(t, !newCall(3).mayRetry(attemptResult{}), "the route allows three attempts")
+	for range int(initialRetries) {
+		assert.Assert(t, newCall(1).mayRetry(attemptResult{}))
+	}
+	assert.Assert(t, !newCall(1).mayRetry(attemptResult{}), "the budget is used up")
+	for range 11 {
+		gateway.retries.RecordRequest()
+	}
+	assert.Assert(t, newCall(2).mayRetry(attemptResult{}), "eleven requests allow one retry")
+	assert.Assert(t, !newCall(2).mayRetry(attemptResult{}))
+}
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -453,3 +453,15 @@
 	decision := dispatcher.Choose(request, nil, start.Add(2*time.Second))
 	assert.DeepEqual(t, decision, Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter})
 }
+
+// A target answers a request that is larger than its memory as if it were full, so the
+// request would be sent again and again.
+func TestRequestLargerThanMemoryIsRefused(t *testing.T) {
+	dispatcher, keys := newTestDispatcher("a", "b")
+	for _, key := range keys {
+		dispatcher.SetReport(key, directory.Report{At: start, TotalKV: 1049, Models: []directory.ResidentModel{{Model: "m"}}})
+	}
+	assert.DeepEqual(t, dispatcher.Choose(newTestRequest(), nil, start), Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter})
+	dispatcher.SetReport(keys[1], directory.Report{At: start, TotalKV: 1050, Models: []directory.ResidentModel{{Model: "m"}}})
+	assert.Equal(t, sentTo(t, dispatcher.Choose(newTestRequest(), nil, start)), "b")
+}
--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -234,3 +234,19 @@
 	_, _, ok := newEntry(start).Take("other", 1e9, start)
 	assert.Assert(t, ok)
 }
+
+// The bucket holds more than the burst, for uneven arrivals; the window must still hold.
+func TestFullBucketDoesNotExceedWindow(t *testing.T) {
+	fleet := newFleet(nil, 1)
+	for range int(2 * window / period) {
+		fleet.sendRequests(0, 100)
+		fleet.wait(period)
+		sum := 0.0
+		for _, spending := range fleet.admitted {
+			if fleet.now.Sub(spending.at) <= window {
+				sum += spending.cost
+			}
+		}
+		assert.Assert(t, sum <= rate*window.Seconds()+burst, "%v spent within %v", sum, window)
+	}
+}
