--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -25,15 +25,16 @@
 )
 
 const (
-	reportInterval       = 100 * time.Millisecond // between two requests for a report, and least time between two state messages without a change
+	reportInterval       = 100 * time.Millisecond // between two requests for a report
+	stateInterval        = 2 * reportInterval     // between two state messages without a change
 	urgentReportInterval = 4 * time.Millisecond   // while requests wait for an adapter, which loads in 5 to 14 ms, or an order waits for a report
 	fullStateInterval    = 10 * time.Second       // between two full messages to a subscriber when the inventory does not change
 	fullStateRetryDelay  = 300 * time.Millisecond // before a subscriber that does not acknowledge a change is sent the full state again
-	subscriptionTTL      = 3 * time.Second        // a subscription that is not renewed expires after this
 	configRetryDelay     = 300 * time.Millisecond // after a failed read of the configuration
 	configCheckInterval  = 2 * time.Second        // between two checks whether entries have announced a newer configuration, and before an invalid one is read again
 	configWatchTimeout   = 3 * time.Second        // of a watch for the first configuration; bounds how long a dead connection goes unnoticed
 	unloadEstimate       = 500 * time.Millisecond // expected duration of an unload, which waits for the model's running requests
+	loadLineInterval     = time.Second            // between two log lines with the target's load
 	storeLoadWindow      = 8 * time.Second        // age up to which loads from the weight store are reported
 )
 
@@ -66,10 +67,13 @@
 	messageNumber    uint64 // of the last state message
 	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
 	report           directory.Report
-	reachable        bool      // the last request for a report succeeded
-	reportPending    bool      // a request for a report is under way
-	restoreTried     bool      // restoreModels has been called; accessed only by followConfiguration
-	lastSent         time.Time // when the state was last sent
+	reachable        bool                      // the last request for a report succeeded
+	reportPending    bool                      // a request for a report is under way
+	restoreTried     bool                      // restoreModels has been called; accessed only by followConfiguration
+	nextLoadLine     time.Time                 // a report requested at or after this time is logged
+	nextState        time.Time                 // a report requested at or after this time is sent even if nothing has changed
+	listedTargets    []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
+	routableModels   []directory.ResidentModel // in the last state sent
 }
 
 // New returns a Sidecar; Run starts it.
@@ -194,6 +198,10 @@
 		return
 	}
 	order, ok := sidecar.controller.NextOrder(sidecar.options.Clock.Now())
+	if sidecar.reachable && !reflect.DeepEqual(sidecar.routableModels, sidecar.controller.RoutableModels()) {
+		sidecar.inventoryVersion++ // a plan ended without its unloads
+		sidecar.sendState()
+	}
 	if !ok {
 		return
 	}
@@ -210,8 +218,8 @@
 	if err != nil {
 		sidecar.log.Warnf("an order failed, its outcome may be unknown: %v", err)
 	}
-	sidecar.log.Infof("order load %v model %q adapter %q sequence %d fence %d: %s",
-		order.Load, order.Model, order.Adapter, order.Sequence, order.Fence, outcome)
+	sidecar.log.Infof("order load %v model %q adapter %q at target %s, sequence %d fence %d: %s",
+		order.Load, order.Model, order.Adapter, order.Target, order.Sequence, order.Fence, outcome)
 	sidecar.controller.RecordOutcome(order, outcome, sidecar.options.Clock.Now())
 	sidecar.requestReport(ctx)
 }
@@ -285,17 +293,28 @@
 		return
 	}
 	sidecar.control.Post(func() {
-		for _, target := range targets {
-			earlier := target.StartedAt() < sidecar.targetStartedAt && target.ID() != sidecar.targetID
-			if target.Address() == sidecar.options.Target && earlier && len(target.Models()) > 0 {
-				sidecar.log.Infof("target held %d models in its earlier incarnation %s", len(target.Models()), target.ID())
-				sidecar.controller.SetRestore(target.Models())
-			}
-		}
+		sidecar.listedTargets = targets
+		sidecar.queueRestore()
 		sidecar.advance(ctx)
 	})
 }
 
+// queueRestore passes the models of the target's earlier incarnation to the controller,
+// once both the list of targets and the current incarnation are known.
+func (sidecar *Sidecar) queueRestore() {
+	if sidecar.targetID == "" {
+		return
+	}
+	for _, target := range sidecar.listedTargets {
+		earlier := target.StartedAt() < sidecar.targetStartedAt && target.ID() != sidecar.targetID
+		if target.Address() == sidecar.options.Target && earlier && len(target.Models()) > 0 {
+			sidecar.log.Infof("target held %d models in its earlier incarnation %s", len(target.Models()), target.ID())
+			sidecar.controller.SetRestore(target.Models())
+		}
+	}
+	sidecar.listedTargets = nil
+}
+
 // sleep waits for the duration or until ctx ends.
 func (sidecar *Sidecar) sleep(ctx context.Context, duration time.Duration) {
 	select {
@@ -352,10 +371,8 @@
 
 // handleReport handles a report or the failure to get one. It sends the state to
 // the entries at once if the target's models, loading adapters, orders or draining
-// have changed or the target answers again, and otherwise if the report was
-// requested at least reportInterval after the last message was sent. A message is
-// sent later than its report was requested, so the next report, requested about
-// reportInterval after that one, is often too early and only the second is sent.
+// have changed or the target answers again, and otherwise every stateInterval, counted
+// from when the reports were requested.
 func (sidecar *Sidecar) handleReport(report directory.Report, id string, err error) {
 	if err != nil {
 		if sidecar.reachable {
@@ -368,6 +385,7 @@
 	if id != "" {
 		sidecar.log.Infof("target is %s, started at Unix ms %d", id, report.StartedAt)
 		sidecar.targetID, sidecar.targetStartedAt = id, report.StartedAt
+		defer sidecar.queueRestore() // after the controller has the report
 	}
 	if !sidecar.reachable {
 		sidecar.log.Infof("regained the target")
@@ -380,9 +398,27 @@
 	if changed {
 		sidecar.inventoryVersion++
 	}
-	if changed || report.At.Sub(sidecar.lastSent) >= reportInterval {
+	if changed || !report.At.Before(sidecar.nextState) {
 		sidecar.sendState()
 	}
+	if !report.At.Before(sidecar.nextLoadLine) {
+		sidecar.nextLoadLine = report.At.Add(loadLineInterval)
+		sidecar.log.Infof("load of target %s: %d running, %d queued, %d starting, %d of %d tokens of KV cache, models %q",
+			sidecar.targetID, report.Running, report.Queued, report.Starting, report.UsedKV, report.TotalKV, modelNames(report.Models))
+	}
+}
+
+// stateTolerance is how much earlier than stateInterval a report may have been requested
+// that is sent, so that an early timer does not postpone it to the next report.
+const stateTolerance = reportInterval / 4
+
+// modelNames returns the names of the models.
+func modelNames(models []directory.ResidentModel) []string {
+	names := make([]string, 0, len(models))
+	for _, model := range models {
+		names = append(names, model.Model)
+	}
+	return names
 }
 
 // sendState sends the target's state to the subscribed entries: the full state
@@ -393,11 +429,12 @@
 		return
 	}
 	now := sidecar.options.Clock.Now()
-	sidecar.lastSent = now
+	sidecar.nextState = sidecar.report.At.Add(stateInterval - stateTolerance)
+	sidecar.routableModels = sidecar.controller.RoutableModels()
 	sidecar.messageNumber++
 	state := sidecar.state(now)
 	for address, subscriber := range sidecar.subscribers {
-		if now.Sub(subscriber.renewed) > subscriptionTTL {
+		if now.Sub(subscriber.renewed) > wire.SubscriptionTTL {
 			delete(sidecar.subscribers, address)
 			continue
 		}
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -61,9 +61,9 @@
 	now := gateway.clock.Now()
 	gateway.metrics.Observe("head", now.Sub(relay.call.arrived))
 	gateway.metrics.Observe("placing", relay.attempt.sentAt.Sub(relay.call.arrived))
-	gateway.log.Infof("request %q answered with status %d by target %s, route %s, model %q, configuration %d, sends %d, placed after %v, head after %v",
-		relay.call.head.ID, relay.header.StatusCode(), relay.attempt.target.ID(), relay.call.route.Name(), relay.call.head.Model,
-		relay.call.version, relay.call.sends+1, relay.attempt.sentAt.Sub(relay.call.arrived), now.Sub(relay.call.arrived))
+	gateway.log.Infof("request %q answered with status %d by target %s, configuration %d, sends %d, placed after %v, %v",
+		relay.call.head.ID, relay.header.StatusCode(), relay.attempt.target.ID(),
+		relay.call.version, relay.call.sends+1, relay.attempt.sentAt.Sub(relay.call.arrived), relay.call)
 	if relay.response == nil {
 		ctx.Response.SetBodyRaw(relay.body)
 		relay.call.end()
@@ -178,6 +178,9 @@
 	next, fault := gateway.forward(call)
 	if fault != nil || next.response == nil || next.header.StatusCode() != relay.header.StatusCode() {
 		gateway.metrics.Add("streams.cut", 1)
+		if fault == nil {
+			next.abandon()
+		}
 		return errors.Wrap(errTruncated, "no other target resumed the stream")
 	}
 	gateway.metrics.Add("streams.resumed", 1)
@@ -185,6 +188,14 @@
 	return nil
 }
 
+// abandon ends the attempt without passing its response on.
+func (relay *relay) abandon() {
+	if relay.response != nil {
+		relay.response.Abort()
+	}
+	relay.attempt.end(dispatch.InternalError)
+}
+
 // Close ends the call after the last byte or when the caller has disconnected.
 func (relay *relay) Close() error {
 	if !relay.finished {
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -441,3 +441,27 @@
 		}
 	})
 }
+
+// A request without a model does not wait for a model to be loaded.
+func TestPlainRequestIsRefusedWhileAllTargetsAreSilent(t *testing.T) {
+	dispatcher := NewDispatcher("here")
+	target := directory.NewTarget(directory.TargetSpec{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4})
+	dispatcher.SetTargets([]*directory.Target{target})
+	dispatcher.SetReport(target.Key(), directory.Report{At: start})
+	request := &Request{Service: "app", Arrived: start, StartBy: start.Add(20 * time.Second), Deadline: start.Add(20 * time.Second)}
+	dispatcher.RecordSent(target.Key(), request, start)
+	decision := dispatcher.Choose(request, nil, start.Add(2*time.Second))
+	assert.DeepEqual(t, decision, Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter})
+}
+
+// A target answers a request that is larger than its memory as if it were full, so the
+// request would be sent again and again.
+func TestRequestLargerThanMemoryIsRefused(t *testing.T) {
+	dispatcher, keys := newTestDispatcher("a", "b")
+	for _, key := range keys {
+		dispatcher.SetReport(key, directory.Report{At: start, TotalKV: 1049, Models: []directory.ResidentModel{{Model: "m"}}})
+	}
+	assert.DeepEqual(t, dispatcher.Choose(newTestRequest(), nil, start), Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter})
+	dispatcher.SetReport(keys[1], directory.Report{At: start, TotalKV: 1050, Models: []directory.ResidentModel{{Model: "m"}}})
+	assert.Equal(t, sentTo(t, dispatcher.Choose(newTestRequest(), nil, start)), "b")
+}
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -4,15 +4,15 @@
 // other periodically, and each entry keeps a token bucket that models the whole fleet.
 // An entry whose reports stop arriving is assumed to spend an even share of the rate,
 // and an entry that receives no reports limits itself to its own even share, so that a
-// partitioned fleet stays within the rate. This ends after peerExpiry without reports,
-// when the other entry is taken to have stopped; in a partition that lasts longer, the
-// fleet may exceed the rate. In addition to the bucket, a sliding window limits spending
+// partitioned fleet stays within the rate. The share of a silent entry is used again
+// only once that entry is known to have stopped. In addition to the bucket, a sliding window limits spending
 // to the rate times the window length plus the burst. The package does no I/O and is not
 // safe for concurrent use; package gateway guards the Limiter with a lock and exchanges
 // the reports. Package quota limits rates in another way, by shares of them.
 package ratelimit
 
 import (
+	"fmt"
 	"time"
 
 	"endiverill.example/kernel/directory"
@@ -20,7 +20,7 @@
 
 const (
 	peerTimeoutPeriods = 2.25             // report periods without a report after which a peer counts as unreachable
-	peerExpiry         = 30 * time.Second // a peer without reports for this long is taken to have stopped
+	peerExpiry         = 30 * time.Second // a peer that has stopped is removed after this long without reports
 	maxRetryAfter      = 5 * time.Second  // longest wait that Take returns
 	headroom           = time.Second      // a bucket holds the inflow of this time beyond the burst, so that uneven arrivals within the window are admitted
 	windowSlices       = 32               // time slices of equal length into which the sliding window is divided
@@ -188,8 +188,7 @@
 	bucket.advanceWindow(now, limiter.sliceLength())
 	// A request larger than the burst is admitted once the burst is available.
 	missing := min(cost, bucket.burst) - limiter.spendable(bucket)
-	maxInWindow := bucket.rate*limiter.window.Seconds() + bucket.burst
-	missing = max(missing, bucket.spentInWindow()+cost-maxInWindow)
+	missing = max(missing, bucket.spentInWindow()+cost-limiter.maxInWindow(bucket))
 	if missing > 0 {
 		wait := time.Duration(missing / bucket.rate * float64(time.Second))
 		return Charge{}, min(wait, maxRetryAfter), false
@@ -201,6 +200,40 @@
 	return Charge{customer: customer, cost: cost}, 0, true
 }
 
+// Status is what the admission of a customer's requests at this entry is based on, in
+// cost units.
+type Status struct {
+	Level       float64 // in the bucket of the whole fleet
+	Spendable   float64 // of the level, by this entry before its next report
+	InWindow    float64 // spent by the fleet within the sliding window
+	MaxInWindow float64
+	Peers       int // other entries
+}
+
+// String returns the status as it stands in log lines.
+func (status Status) String() string {
+	return fmt.Sprintf("level %.0f, spendable here %.0f, in the window %.0f of %.0f, %d peers",
+		status.Level, status.Spendable, status.InWindow, status.MaxInWindow, status.Peers)
+}
+
+// Status returns the status of a customer, as of the last Take; zero for a customer that
+// is not limited.
+func (limiter *Limiter) Status(customer string) Status {
+	bucket := limiter.buckets[customer]
+	if bucket == nil {
+		return Status{}
+	}
+	return Status{
+		Level: bucket.level, Spendable: limiter.spendable(bucket), InWindow: bucket.spentInWindow(),
+		MaxInWindow: limiter.maxInWindow(bucket), Peers: len(limiter.peers),
+	}
+}
+
+// maxInWindow returns how much the fleet may spend within the sliding window.
+func (limiter *Limiter) maxInWindow(bucket *bucket) float64 {
+	return bucket.rate*limiter.window.Seconds() + bucket.burst
+}
+
 // Refund refunds the charge of a request that did not run.
 func (limiter *Limiter) Refund(charge Charge, now time.Time) {
 	bucket := limiter.buckets[charge.customer]
@@ -277,10 +310,12 @@
 // RemovePeer removes a peer that announced its shutdown.
 func (limiter *Limiter) RemovePeer(name string) { delete(limiter.peers, name) }
 
-// ExpirePeers removes peers that have sent no report for peerExpiry.
-func (limiter *Limiter) ExpirePeers(now time.Time) {
+// ExpirePeers removes peers that have sent no report for peerExpiry and are known to
+// have stopped. Silence alone is no sign of that: a peer behind a partition may go on
+// spending its even share.
+func (limiter *Limiter) ExpirePeers(now time.Time, stopped func(name string, lastReport time.Time) bool) {
 	for name, peer := range limiter.peers {
-		if now.Sub(peer.lastReport) > peerExpiry {
+		if now.Sub(peer.lastReport) > peerExpiry && stopped(name, peer.lastReport) {
 			delete(limiter.peers, name)
 		}
 	}
