Limit customers by the window, and share what is left by reports asked for

Hypothesis: customers are refused inside their rate because an entry may spend an even share of a bucket that holds less than the contract's window, and one request is larger than such a share.

Change: spending is limited by the sliding window, rate times its length plus burst, with the oldest slice counted in part and reports dated to the middle of their interval. An entry spends its share of what was left when the others last knew its spending, and asks them for reports when a request needs more; the request waits for that, or for the window, up to 300 ms. While entries are silent the others keep to their even share of the whole limit. What exceeds a bucket of rate and burst is served only where it finds a queue of at most 50 ms, so that a customer with many times its usual does not take the others' places.

--- a/endiverill/internal/report/parser.go
+++ b/endiverill/internal/report/parser.go
@@ -49,7 +49,7 @@
 	requestPrefix     = regexp.MustCompile(`^gateway: request "([^"]*)":? `)
 	suppressedPattern = regexp.MustCompile(` \((\d+) such lines were left out\)$`)
 	estimatePattern   = regexp.MustCompile(`the best one after ` + estimateForm)
-	ratePattern       = regexp.MustCompile(`cost (-?\d+), level (-?\d+), spendable here (-?\d+), in the window (-?\d+) of (-?\d+)`)
+	ratePattern       = regexp.MustCompile(`cost (-?\d+), left (-?\d+) of (-?\d+), share here (-?\d+) of which (-?\d+) are spent`)
 )
 
 // parse reads one line.
--- a/endiverill/internal/report/request.go
+++ b/endiverill/internal/report/request.go
@@ -69,7 +69,7 @@
 
 // rateStatus is the state of a customer's rate at an entry, in cost units.
 type rateStatus struct {
-	cost, level, spendable, inWindow, maxInWindow float64
+	cost, left, limit, share, unknown float64
 }
 
 // ID returns the ID of the request.
@@ -186,10 +186,8 @@
 	switch {
 	case status == nil:
 		return "rate"
-	case status.inWindow+status.cost > status.maxInWindow:
-		return "rate: window used up"
-	case status.cost > status.level:
-		return "rate: bucket used up"
+	case status.cost > status.left:
+		return "rate: limit used up"
 	default:
 		return "rate: share of this entry used up"
 	}
--- a/endiverill/internal/report/text.go
+++ b/endiverill/internal/report/text.go
@@ -167,7 +167,7 @@
 }
 
 func (report *Report) writeRates(writer io.Writer) {
-	row(writer, "refused by rate", "requests", "cost", "level", "spendable here", "in the window", "of")
+	row(writer, "refused by rate", "requests", "cost", "left", "of", "share here", "spent of it")
 	key := func(request *Request) string {
 		if request.rate == nil {
 			return ""
@@ -186,8 +186,8 @@
 			return fmt.Sprintf("%.0f", quantile(all, value, 0.5))
 		}
 		row(writer, name, len(all), middle(func(status *rateStatus) float64 { return status.cost }),
-			middle(func(status *rateStatus) float64 { return status.level }), middle(func(status *rateStatus) float64 { return status.spendable }),
-			middle(func(status *rateStatus) float64 { return status.inWindow }), middle(func(status *rateStatus) float64 { return status.maxInWindow }))
+			middle(func(status *rateStatus) float64 { return status.left }), middle(func(status *rateStatus) float64 { return status.limit }),
+			middle(func(status *rateStatus) float64 { return status.share }), middle(func(status *rateStatus) float64 { return status.unknown }))
 	}
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -24,6 +24,7 @@
 	memberMaxAge     = 3 * time.Second        // entries silent for longer are not listed
 	peersPerInterval = 8                      // each such number of other entries lengthens the time between messages by stateInterval
 	peerTimeout      = 30 * time.Second       // entries silent for longer are removed
+	askInterval      = 20 * time.Millisecond  // between two requests for the state of all entries
 	agentPortOffset  = 1                      // agents listen on the port after that of entries
 )
 
@@ -37,6 +38,7 @@
 	sendNow      chan struct{}                                    // starts the next round of messages early
 	mu           sync.Mutex                                       // guards the fields below
 	rounds       uint64                                           // rounds of messages sent
+	askedAt      time.Time                                        // when askReports last sent a message
 	left         bool                                             // this instance has told the others that it has stopped
 	modelMissing bool                                             // since the last round, a request asked for a model that no target holds
 	entries      map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
@@ -162,20 +164,66 @@
 	peers.left = true
 }
 
-// sendState sends this instance's state to entries and agents, unless it has left.
-func (peers *peers) sendState(leaving bool) {
+// newState returns this instance's state without the fields that are only in some
+// messages. ToAll says that all entries are sent the state, so that they will know of the
+// spending in it.
+func (peers *peers) newState(toAll bool, now time.Time) *wire.EntryState {
 	gateway := peers.gateway
-	now := gateway.clock.Now()
-	state := &wire.EntryState{Name: gateway.options.Name, Incarnation: gateway.options.Incarnation, Leaving: leaving}
+	state := &wire.EntryState{Name: gateway.options.Name, Incarnation: gateway.options.Incarnation}
 	gateway.syncer.fillState(state)
+	state.PlanFence = gateway.planner.fence()
 	period := peers.period()
 	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
 	gateway.limiter.SetPeriod(period)
-	gateway.limiter.MarkReported(now)
+	if toAll {
+		gateway.limiter.MarkReported(now)
+	}
 	state.Spent = listNamedValues(gateway.limiter.Spent())
-	state.BucketLevels = listNamedValues(gateway.limiter.Levels())
-	gateway.mu.Unlock()
-	state.PlanFence = gateway.planner.fence()
+	state.RateLeft = listNamedValues(gateway.limiter.Left(now))
+	return state
+}
+
+// askReports sends this instance's state to all entries and asks for theirs, at most once
+// per askInterval.
+func (peers *peers) askReports() {
+	now := peers.gateway.clock.Now()
+	peers.mu.Lock()
+	early := now.Sub(peers.askedAt) < askInterval
+	if !early {
+		peers.askedAt = now
+	}
+	peers.mu.Unlock()
+	if early {
+		return
+	}
+	state := peers.newState(true, now)
+	state.AsksReport = true
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.socket == nil || peers.left {
+		return
+	}
+	for address := range peers.entries {
+		peers.send(address, state)
+	}
+}
+
+// reply sends this instance's state to an entry that has asked for it.
+func (peers *peers) reply(to netip.AddrPort) {
+	state := peers.newState(false, peers.gateway.clock.Now())
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.socket != nil && !peers.left {
+		peers.send(to, state)
+	}
+}
+
+// sendState sends this instance's state to entries and agents, unless it has left.
+func (peers *peers) sendState(leaving bool) {
+	now := peers.gateway.clock.Now()
+	state := peers.newState(true, now)
+	state.Leaving = leaving
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if peers.socket == nil || peers.left {
@@ -207,7 +255,7 @@
 // their own state to this entry. The message state is modified. The caller must
 // hold mu.
 func (peers *peers) subscribe(state *wire.EntryState) {
-	state.Spent, state.BucketLevels, state.Demand, state.Entries = nil, nil, nil, nil
+	state.Spent, state.RateLeft, state.Demand, state.Entries = nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -35,12 +35,14 @@
 	now := gateway.clock.Now()
 	name := from.String()
 	gateway.mu.Lock()
+	gateway.limiter.ApplyReport(name, state.Incarnation, valuesByName(state.Spent), valuesByName(state.RateLeft), now)
 	if state.Leaving {
 		gateway.limiter.RemovePeer(name)
-	} else {
-		gateway.limiter.ApplyReport(name, state.Incarnation, valuesByName(state.Spent), valuesByName(state.BucketLevels), now)
 	}
 	gateway.mu.Unlock()
+	if state.AsksReport {
+		peers.reply(from)
+	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.Leaving {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -27,6 +28,9 @@
 	call, fault := gateway.accept(ctx)
 	if fault == nil {
 		gateway.callerWatch.add(call, conn)
+		fault = call.charge()
+	}
+	if fault == nil {
 		gateway.peers.addDemand(&call.placement)
 		gateway.retries.RecordRequest()
 		var relay *relay
@@ -124,8 +128,7 @@
 	return call
 }
 
-// admit finds the route, customer and service of a request, sets its deadline and
-// charges the customer's rate. It refuses requests that the instance no longer
+// admit finds the route, customer and service of a request, and sets its deadline. It refuses requests that the instance no longer
 // admits because it is stopping.
 func (call *call) admit(current *directory.Directory, host, path string) *code.Fault {
 	route := current.Match(host, path)
@@ -167,25 +170,57 @@
 		call.placement.PromptTokens, call.placement.MaxOutputTokens = call.head.Prompt, call.head.Output
 		call.placement.Parts = call.head.Parts
 	}
-	return call.charge()
+	return nil
 }
 
-// charge takes the cost of the request from the customer's rate.
+// charge takes the cost of the request from the customer's rate. When the request can be
+// admitted within maxRateWait, it waits for that, since the caller would come back later
+// than that after a refusal.
 func (call *call) charge() *code.Fault {
 	if call.customer == nil {
 		return nil
 	}
 	gateway := call.gateway
+	end := gateway.clock.Now().Add(min(maxRateWait, call.deadline.Sub(call.arrived)/rateWaitPart))
+	for {
+		wait, fault := call.takeRate()
+		if fault == nil || gateway.clock.Now().Add(wait).After(end) {
+			return fault
+		}
+		if wait == 0 {
+			gateway.peers.askReports()
+		}
+		select {
+		case <-gateway.clock.After(max(wait, minRateWait)):
+		case <-call.ctx.Done():
+			return call.endFault(code.RanNo)
+		case <-gateway.draining.Done():
+			return fault
+		}
+	}
+}
+
+const (
+	maxRateWait  = 300 * time.Millisecond // for the rate of a customer to allow a request
+	minRateWait  = 4 * time.Millisecond   // also for the reports of other entries to arrive
+	minRateRetry = 50 * time.Millisecond  // least Retry-After of a refusal by rate
+	rateWaitPart = 4                      // of the time until the deadline, one part may be spent waiting for the rate
+)
+
+// takeRate charges the customer's rate once. With a fault, the request may be admitted
+// after the wait.
+func (call *call) takeRate() (wait time.Duration, fault *code.Fault) {
+	gateway, name := call.gateway, call.customer.Name()
 	cost := call.customer.Cost(call.head.Prompt + call.head.Output)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	charge, wait, ok := gateway.limiter.Take(call.customer.Name(), cost, gateway.clock.Now())
+	charge, wait, ok := gateway.limiter.Take(name, cost, gateway.clock.Now())
 	if !ok {
-		status := gateway.limiter.Status(call.customer.Name())
-		return code.New(code.RateExceeded, code.RanNo, "customer %s has used up its rate, cost %.0f, %v", call.customer.Name(), cost, status).WithRetryAfter(wait)
+		status := gateway.limiter.Status(name, gateway.clock.Now())
+		return wait, code.New(code.RateExceeded, code.RanNo, "customer %s has used up its rate, cost %.0f, %v", name, cost, status).WithRetryAfter(max(wait, minRateRetry))
 	}
-	call.rateCharge = charge
-	return nil
+	call.rateCharge, call.placement.Excess = charge, charge.Excess()
+	return 0, nil
 }
 
 // forward sends the call to a target and returns the response, whose header has
@@ -309,6 +344,8 @@
 	switch refuse.Reason {
 	case dispatch.Saturated:
 		return code.New(code.QueueFull, code.RanNo, "no target would begin in time, the best one after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
+	case dispatch.NoSpare:
+		return code.New(code.RateExceeded, code.RanNo, "the customer is above its rate and no target is idle, the best one would begin after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.RetryAfter)
 	case dispatch.TooLarge:
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -17,6 +17,7 @@
 	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
 	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
 	maxQueueFraction     = 0.35                  // largest share of the objective spent queueing; longer queues make every request late
+	maxSpareQueueTime    = 50 * time.Millisecond // longest queue that a request above its customer's rate may join
 	maxWaitFraction      = 0.9                   // largest share of the time until start-by that a wait may take
 	minRetryAfter        = 100 * time.Millisecond
 	defaultRetryAfter    = time.Second
@@ -183,6 +184,8 @@
 		maxWait := time.Duration(float64(request.StartBy.Sub(now)) * maxWaitFraction)
 		maxQueueTime := time.Duration(float64(request.Objective) * maxQueueFraction)
 		switch {
+		case request.Excess && candidate.wait-candidate.promptReadTime > maxSpareQueueTime:
+			return Refuse{Reason: NoSpare, RetryAfter: defaultRetryAfter, Estimate: candidate.estimate(request, now)}
 		case candidate.wait > maxWait:
 			return Refuse{Reason: Saturated, RetryAfter: max(candidate.wait-maxWait/2, minRetryAfter), Estimate: candidate.estimate(request, now)}
 		case request.Objective > 0 && candidate.wait-candidate.promptReadTime > maxQueueTime:
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -29,7 +29,8 @@
 	PromptTokens    int
 	MaxOutputTokens int
 	Parts           []Part
-	Urgency         int // 0 is the most urgent
+	Urgency         int  // 0 is the most urgent
+	Excess          bool // above the customer's rate; served only if it delays no other request
 	Arrived         time.Time
 	Objective       time.Duration // for the time to the first event; 0 if the route has none
 	StartBy         time.Time     // latest first event, after which the caller leaves
@@ -123,5 +124,6 @@
 	NotResident Reason = "not-resident" // no target that could take the request holds the model
 	Loading     Reason = "loading"      // as NotResident, but the model is being loaded
 	Saturated   Reason = "saturated"    // the best target would send the first event too late or queue the request for too long
+	NoSpare     Reason = "no-spare"     // the request is above the customer's rate, and no target is idle enough to serve it
 	TooLarge    Reason = "too-large"    // the request needs more KV cache than any target has that could take it
 )
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -30,7 +30,7 @@
 	Version          uint64 // version of the configuration in force
 	Leaving          bool
 	Spent            []NamedValue  // cost units spent since the entry started, by customer
-	BucketLevels     []NamedValue  // cost units left in the token bucket, by customer
+	RateLeft         []NamedValue  // cost units that the fleet may still spend within the window, by customer
 	Demand           []NamedValue  // tokens requested since the entry started, by model; used by the planner
 	UsedAdapters     []AdapterUse  // sent to an agent: the adapters used at its target since the last message
 	PlanFence        uint64        // fence of the planner that this entry runs, 0 when it runs none
@@ -39,6 +39,7 @@
 	ListAge          time.Duration // time since ListVersion was last confirmed to be the newest
 	Entries          []string      // addresses of some entries that sent a message recently
 	ModelMissing     bool          // requests wait for a model that is resident on no target
+	AsksReport       bool          // the receiver is to send its state to the sender without delay
 	InventoryVersion uint64        // sent to an agent: the last TargetState.InventoryVersion received from it
 }
 
@@ -215,7 +216,7 @@
 	writer.bool(4, entryState.Leaving)
 	writer.namedValues(5, entryState.Spent)
 	writer.namedValues(6, entryState.Demand)
-	writer.namedValues(7, entryState.BucketLevels)
+	writer.namedValues(7, entryState.RateLeft)
 	for index := range entryState.UsedAdapters {
 		writer.message(8, &entryState.UsedAdapters[index])
 	}
@@ -226,6 +227,7 @@
 	writer.strings(13, entryState.Entries)
 	writer.bool(14, entryState.ModelMissing)
 	writer.varint(15, entryState.InventoryVersion)
+	writer.bool(16, entryState.AsksReport)
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -243,7 +245,7 @@
 	case 6:
 		entryState.Demand = appendNamedValue(entryState.Demand, value.bytes)
 	case 7:
-		entryState.BucketLevels = appendNamedValue(entryState.BucketLevels, value.bytes)
+		entryState.RateLeft = appendNamedValue(entryState.RateLeft, value.bytes)
 	case 8:
 		var use AdapterUse
 		if parse(value.bytes, &use) == nil {
@@ -263,6 +265,8 @@
 		entryState.ModelMissing = value.bool()
 	case 15:
 		entryState.InventoryVersion = value.varint
+	case 16:
+		entryState.AsksReport = value.bool()
 	}
 }
 
