Learn waits as a latency and a time per prompt token

A short prompt waits for the target's latency, so that the learned rate is a third of the published one (median 13.8 tokens/ms of 38.4) and long prompts look three times too slow.

Change: a regression over the observed waits, in which older ones fade, gives latency and time per token; queues may take a quarter of the objective, by an estimate that is now right.

--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -16,7 +16,7 @@
 	backoffPenalty       = 3 * time.Second       // ranks a target in backoff behind all with a similar wait
 	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
 	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
-	maxQueueFraction     = 0.35                  // largest share of the objective spent queueing; longer queues make every request late
+	maxQueueFraction     = 0.25                  // largest share of the objective spent queueing; longer queues make every request late
 	maxSpareQueueTime    = 50 * time.Millisecond // longest queue that a request above its customer's rate may join
 	maxWaitFraction      = 0.9                   // largest share of the time until start-by that a wait may take
 	minRetryAfter        = 100 * time.Millisecond
@@ -80,14 +80,15 @@
 	replica        *replica
 	cost           time.Duration // wait plus penalties; the lowest is chosen
 	wait           time.Duration // until the first event, less affinityDiscount at the preferred target if it must load the adapter first
-	promptReadTime time.Duration // part of wait in which the target reads the request's own prompt
+	promptReadTime time.Duration // part of wait from the start of reading the request's own prompt
 	loadAdapter    bool          // the adapter must be loaded first
 }
 
 // evaluate estimates a request's wait and cost at a target. While the preferred
 // target of an adapter does not hold it, its wait is reduced by affinityDiscount.
 func (dispatcher *Dispatcher) evaluate(replica *replica, request *Request, preferred bool, now time.Time) candidate {
-	candidate := candidate{replica: replica, wait: replica.firstEventWait(request, now), promptReadTime: replica.promptReadTime(request)}
+	candidate := candidate{replica: replica, promptReadTime: replica.promptReadTime(request)}
+	candidate.wait = replica.queueTime(request, now) + candidate.promptReadTime
 	if !replica.holdsAdapter(request.Model, request.Adapter) {
 		candidate.loadAdapter = true
 		candidate.wait += replica.adapterWait(now)
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -258,7 +258,7 @@
 	if attempt == nil || attempt.started {
 		return
 	}
-	replica.observePromptRate(attempt.tokensToRead, now.Sub(attempt.sentAt))
+	replica.waits.observe(attempt.tokensToRead, now.Sub(attempt.sentAt))
 	attempt.started = true
 }
 
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -283,7 +283,7 @@
 		dispatcher.RecordEnd(keys[0], first, Answered, start)
 		dispatcher.RecordEnd(keys[0], second, Answered, start)
 	}
-	rate := dispatcher.replicas[keys[0]].promptRate
+	rate := 1 / dispatcher.replicas[keys[0]].waits.perToken
 	assert.Assert(t, rate > 19 && rate < 21, "rate %v tokens/ms", rate)
 }
 
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -10,13 +10,8 @@
 )
 
 const (
-	initialPromptRate     = 16.0                    // prompt tokens per millisecond until one is measured; below the engines' published rate
-	promptRateSmoothing   = 0.15                    // weight of the newest measurement
-	minPromptRate         = 2.0                     // prompt tokens per millisecond
-	maxPromptRate         = 80.0                    // prompt tokens per millisecond
 	assumedPromptTokens   = 1800                    // tokens assumed for a prompt that another instance sent
 	reportTTL             = 1500 * time.Millisecond // load in a report older than this is ignored
-	minMeasurableWait     = 20 * time.Millisecond   // network latency dominates shorter waits
 	minBackoff            = 250 * time.Millisecond
 	maxBackoff            = 2 * time.Second
 	failuresBeforeBackoff = 3                       // consecutive failures
@@ -48,11 +43,11 @@
 	target          *directory.Target
 	unlisted        bool // no longer listed, kept until its attempts end
 	report          directory.Report
-	reported        bool                 // report is set
-	listOutdated    bool                 // the models in the list were found to be wrong and are not used
-	models          map[string][]string  // adapters by model
-	attempts        map[uint64]*attempt  // by number
-	promptRate      float64              // prompt tokens per millisecond
+	reported        bool                // report is set
+	listOutdated    bool                // the models in the list were found to be wrong and are not used
+	models          map[string][]string // adapters by model
+	attempts        map[uint64]*attempt // by number
+	waits           *waitModel
 	failures        int                  // consecutive
 	backoffUntil    time.Time            // until then, backoffPenalty is added to the cost
 	cachedParts     map[string]time.Time // time of the last use, by part key
@@ -64,7 +59,7 @@
 
 func newReplica(target *directory.Target) *replica {
 	replica := &replica{
-		target: target, attempts: map[uint64]*attempt{}, promptRate: initialPromptRate,
+		target: target, attempts: map[uint64]*attempt{}, waits: newWaitModel(),
 		cachedParts: map[string]time.Time{}, loadingAdapters: map[string]time.Time{},
 	}
 	replica.setModels(target.Models())
@@ -170,9 +165,9 @@
 	return max(left, 0)
 }
 
-// firstEventWait estimates the time until the request's first event.
-func (replica *replica) firstEventWait(request *Request, now time.Time) time.Duration {
-	wait := replica.readTime(replica.tokensAhead(request.Urgency, now)) + replica.promptReadTime(request)
+// queueTime estimates the time until the target begins to read the request's prompt.
+func (replica *replica) queueTime(request *Request, now time.Time) time.Duration {
+	wait := replica.waits.readTime(replica.tokensAhead(request.Urgency, now))
 	slots := max(replica.target.Slots(), 1)
 	if over := replica.occupancy(now) - slots + 1; over > 0 {
 		wait += time.Duration(over) * slotWaitPerRequest
@@ -180,13 +175,10 @@
 	return wait
 }
 
-// promptReadTime estimates the time to read the request's own prompt.
+// promptReadTime estimates the time from the start of reading the request's own prompt to
+// the first event.
 func (replica *replica) promptReadTime(request *Request) time.Duration {
-	return replica.readTime(replica.uncachedTokens(request))
-}
-
-func (replica *replica) readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / replica.promptRate * float64(time.Millisecond))
+	return replica.waits.firstEvent() + replica.waits.readTime(replica.uncachedTokens(request))
 }
 
 // adapterWait estimates the time until an adapter that is ordered now is loaded.
@@ -197,17 +189,6 @@
 	return adapterLoadTime + max(replica.report.BusyFor-now.Sub(replica.report.At), minOrderRemaining)
 }
 
-// observePromptRate updates the prompt rate from the time to a first event, in
-// which the target read this many tokens.
-func (replica *replica) observePromptRate(tokens int, elapsed time.Duration) {
-	if tokens == 0 || elapsed < minMeasurableWait {
-		return
-	}
-	rate := float64(tokens) / (float64(elapsed) / float64(time.Millisecond))
-	rate = min(max(rate, minPromptRate), maxPromptRate)
-	replica.promptRate += promptRateSmoothing * (rate - replica.promptRate)
-}
-
 // sampleFailure adds an outcome to the failure rate; sample is between 0 for a
 // success and 1 for a failure.
 func (replica *replica) sampleFailure(sample float64, now time.Time) {
