Tell agents of prompts, and spare running streams the long ones

Change: an entry tells the target's agent of each prompt it sends, with the keys of its shared parts. The agent keeps what is unread, by urgency, from its target's runs, and simulates the cache; its state messages carry both, and one is sent early after 4,000 new tokens. The choice of a target adds 0.02 of the time that its running requests would wait while the prompt is read.

--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -21,12 +21,15 @@
 	"endiverill.example/kernel/loop"
 	"endiverill.example/kernel/metric"
 	"endiverill.example/kernel/orders"
+	"endiverill.example/kernel/prompt"
 	"endiverill.example/kernel/wire"
 )
 
 const (
 	reportInterval       = 100 * time.Millisecond // between two requests for a report
 	stateInterval        = 2 * reportInterval     // between two state messages without a change
+	minStateInterval     = 25 * time.Millisecond  // between two state messages because of prompts
+	earlyStateTokens     = 4000                   // prompt tokens sent to the target since the last state message after which the next is due early
 	urgentReportInterval = 4 * time.Millisecond   // while requests wait for an adapter, which loads in 5 to 14 ms, or an order waits for a report
 	fullStateInterval    = 10 * time.Second       // between two full messages to a subscriber when the inventory does not change
 	fullStateRetryDelay  = 300 * time.Millisecond // before a subscriber that does not acknowledge a change is sent the full state again
@@ -67,9 +70,12 @@
 	messageNumber    uint64 // of the last state message
 	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
 	report           directory.Report
-	reachable        bool                      // the last request for a report succeeded
-	reportPending    bool                      // a request for a report is under way
-	restoreTried     bool                      // restoreModels has been called; accessed only by followConfiguration
+	reachable        bool // the last request for a report succeeded
+	reportPending    bool // a request for a report is under way
+	restoreTried     bool // restoreModels has been called; accessed only by followConfiguration
+	prompts          *prompt.Tracker
+	unsentTokens     int                       // of prompts since the last state message
+	lastSent         time.Time                 // when the state was last sent
 	nextLoadLine     time.Time                 // a report requested at or after this time is logged
 	nextState        time.Time                 // a report requested at or after this time is sent even if nothing has changed
 	listedTargets    []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
@@ -80,7 +86,7 @@
 func New(options Options) *Sidecar {
 	return &Sidecar{
 		options: options, log: options.Logs.Component("agent", options.Name), control: loop.New(),
-		controller: orders.New(), subscribers: map[netip.AddrPort]*subscriber{},
+		controller: orders.New(), prompts: prompt.New(), subscribers: map[netip.AddrPort]*subscriber{},
 	}
 }
 
@@ -124,10 +130,27 @@
 		}
 	case *wire.Command:
 		sidecar.handleCommand(from, message, now)
+	case *wire.SentPrompt:
+		sidecar.handleSentPrompt(message, now)
+		return
 	}
 	sidecar.advance(ctx)
 }
 
+// handleSentPrompt records a prompt. The entries are told early of long ones, so that they
+// do not all send theirs to the same target.
+func (sidecar *Sidecar) handleSentPrompt(message *wire.SentPrompt, now time.Time) {
+	sent := prompt.Prompt{ID: message.ID, Urgency: message.Urgency, Tokens: message.Tokens}
+	for _, part := range message.Parts {
+		sent.Parts = append(sent.Parts, prompt.Part{Key: part.Key, Tokens: part.Tokens})
+	}
+	sidecar.prompts.RecordSent(sent, now)
+	sidecar.unsentTokens += message.Tokens
+	if sidecar.unsentTokens >= earlyStateTokens && now.Sub(sidecar.lastSent) >= minStateInterval {
+		sidecar.sendState()
+	}
+}
+
 // subscriber is an entry that is subscribed to the target's state.
 type subscriber struct {
 	renewed          time.Time // when the entry last subscribed
@@ -385,6 +408,7 @@
 	if id != "" {
 		sidecar.log.Infof("target is %s, started at Unix ms %d", id, report.StartedAt)
 		sidecar.targetID, sidecar.targetStartedAt = id, report.StartedAt
+		sidecar.prompts = prompt.New()
 		defer sidecar.queueRestore() // after the controller has the report
 	}
 	if !sidecar.reachable {
@@ -395,6 +419,7 @@
 		!slices.Equal(report.LoadingAdapters, sidecar.report.LoadingAdapters)
 	sidecar.report, sidecar.reachable = report, true
 	sidecar.controller.SetReport(report)
+	sidecar.prompts.SetReport(report, sidecar.options.Clock.Now())
 	if changed {
 		sidecar.inventoryVersion++
 	}
@@ -430,6 +455,7 @@
 	}
 	now := sidecar.options.Clock.Now()
 	sidecar.nextState = sidecar.report.At.Add(stateInterval - stateTolerance)
+	sidecar.lastSent, sidecar.unsentTokens = now, 0
 	sidecar.routableModels = sidecar.controller.RoutableModels()
 	sidecar.messageNumber++
 	state := sidecar.state(now)
@@ -461,6 +487,10 @@
 		Host: report.HostModels, Disk: report.DiskModels, CanSendOrders: sidecar.fence != 0, PlanFence: sidecar.controller.Fence(),
 		Full: true, InventoryVersion: sidecar.inventoryVersion,
 	}
+	for _, tokens := range sidecar.prompts.Unread() {
+		state.Unread = append(state.Unread, uint64(tokens))
+	}
+	state.Cached, state.Evicted = sidecar.prompts.Changes(now)
 	for _, residentModel := range sidecar.controller.RoutableModels() {
 		state.Models = append(state.Models, wire.ResidentState{Model: residentModel.Model, Adapters: residentModel.Adapters})
 	}
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -367,6 +367,26 @@
 	peers.usedAdapters[key][wire.AdapterUse{Model: request.Model, Adapter: request.Adapter}] = true
 }
 
+// reportPrompt tells the agent of a target of a prompt that is being sent to the target.
+func (peers *peers) reportPrompt(target *directory.Target, id string, request *dispatch.Request) {
+	if request.Model == "" {
+		return
+	}
+	address, err := peers.agentAddress(target)
+	if err != nil {
+		return // the listed host is not an IP address; loadAdapter and execute log the error
+	}
+	sent := &wire.SentPrompt{ID: id, Urgency: request.Urgency, Tokens: request.PromptTokens}
+	for _, part := range request.SharedParts() {
+		sent.Parts = append(sent.Parts, wire.PromptPart{Key: part.Key, Tokens: part.Tokens})
+	}
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	if peers.socket != nil {
+		peers.send(address, sent)
+	}
+}
+
 // addDemand records the demand of a request for its model, in prompt tokens.
 func (peers *peers) addDemand(request *dispatch.Request) {
 	if request.Model == "" {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -112,6 +112,7 @@
 	}
 	gateway.mu.Lock()
 	gateway.dispatcher.SetReport(key, newReport(state, now))
+	gateway.dispatcher.SetCachedParts(key, state.Cached, state.Evicted, now)
 	gateway.dispatcher.SetLoadsInProgress(loading)
 	gateway.mu.Unlock()
 	gateway.changed.broadcast()
@@ -148,6 +149,9 @@
 		BusyFor: state.BusyFor, Draining: state.Draining, RemovedIn: state.RemovedIn, Sequence: state.Sequence, UsedKV: state.UsedKV,
 		TotalKV: state.TotalKV, LoadingAdapters: state.Pending, HostModels: state.Host, DiskModels: state.Disk, StartedAt: state.StartedAt,
 	}
+	for _, tokens := range state.Unread {
+		report.Unread = append(report.Unread, int(tokens))
+	}
 	for _, resident := range state.Models {
 		report.Models = append(report.Models, directory.ResidentModel{Model: resident.Model, Adapters: resident.Adapters})
 	}
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -363,6 +363,7 @@
 	}
 	gateway.peers.recordAdapterUse(target.Key(), &call.placement)
 	attempt := call.newAttempt(target)
+	gateway.peers.reportPrompt(target, call.head.ID, &call.placement)
 	response, sent, err := attempt.send(call.head.LastEvent)
 	if err != nil {
 		return gateway.attemptFailed(call, attempt, sent, err)
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -100,6 +100,15 @@
 	HostModels      []string // models with a copy in host memory
 	DiskModels      []string // models with a copy on disk
 	StartedAt       int64    // start time in Unix milliseconds
+	Runs            []Run    // running requests; only in a report from the target itself
+	Unread          []int    // prompt tokens that the target has yet to read, by urgency; nil if unknown
+}
+
+// Run is a running request.
+type Run struct {
+	ID     string
+	Tokens int // in the KV cache
+	Events int // sent so far
 }
 
 // SameTargets reports whether two lists contain the same targets in the same
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -13,6 +13,7 @@
 	slotWaitPerRequest   = 40 * time.Millisecond // wait for a slot at a full target, for each request in excess
 	adapterLoadTime      = 15 * time.Millisecond // as specified for the deployments
 	remotePenalty        = 8 * time.Millisecond  // keeps requests in the data centre at similar load
+	delayWeight          = 0.02                  // cost of a delay of a running request, relative to the wait of the request itself
 	backoffPenalty       = 3 * time.Second       // ranks a target in backoff behind all with a similar wait
 	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
 	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
@@ -96,7 +97,9 @@
 			candidate.wait -= min(affinityDiscount, candidate.wait)
 		}
 	}
-	candidate.cost = candidate.wait + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
+	// Each running request waits while the target reads the prompt.
+	delay := replica.waits.readTime(replica.uncachedTokens(request)) * time.Duration(replica.occupancy(now))
+	candidate.cost = candidate.wait + time.Duration(float64(delay)*delayWeight) + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
 	if replica.target.DataCentre() != dispatcher.dataCentre {
 		candidate.cost += remotePenalty
 	}
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -178,6 +178,21 @@
 	}
 }
 
+// SetCachedParts records shared parts that came into a target's prefix cache or were used
+// lately, and parts that left it, by key.
+func (dispatcher *Dispatcher) SetCachedParts(key directory.TargetKey, cached, evicted []uint32, now time.Time) {
+	replica := dispatcher.replicas[key]
+	if replica == nil {
+		return
+	}
+	for _, part := range cached {
+		replica.cachedParts[part] = now
+	}
+	for _, part := range evicted {
+		delete(replica.cachedParts, part)
+	}
+}
+
 // RecordAdapterLoadStart records that a target was asked to load the request's adapter.
 func (dispatcher *Dispatcher) RecordAdapterLoadStart(key directory.TargetKey, request *Request, now time.Time) {
 	if replica := dispatcher.replicas[key]; replica != nil {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -11,6 +11,7 @@
 
 const (
 	assumedPromptTokens   = 1800                    // tokens assumed for a prompt that another instance sent
+	reportDelay           = 3 * time.Millisecond    // from the sending of a request to the earliest report that counts it
 	reportTTL             = 1500 * time.Millisecond // load in a report older than this is ignored
 	minBackoff            = 250 * time.Millisecond
 	maxBackoff            = 2 * time.Second
@@ -50,7 +51,7 @@
 	waits           *waitModel
 	failures        int                  // consecutive
 	backoffUntil    time.Time            // until then, backoffPenalty is added to the cost
-	cachedParts     map[string]time.Time // time of the last use, by part key
+	cachedParts     map[uint32]time.Time // time of the last use, by part key
 	loadingAdapters map[string]time.Time // time of the order, by MODEL/ADAPTER
 	lastActivity    time.Time            // last answer or event
 	failureRate     float64              // share of recent requests that failed, as of failureRateTime
@@ -60,7 +61,7 @@
 func newReplica(target *directory.Target) *replica {
 	replica := &replica{
 		target: target, attempts: map[uint64]*attempt{}, waits: newWaitModel(),
-		cachedParts: map[string]time.Time{}, loadingAdapters: map[string]time.Time{},
+		cachedParts: map[uint32]time.Time{}, loadingAdapters: map[string]time.Time{},
 	}
 	replica.setModels(target.Models())
 	return replica
@@ -131,9 +132,13 @@
 }
 
 // tokensAhead returns the prompt tokens that the target reads before those of a
-// new request with this urgency. Requests of other instances are known only by
-// their number: each counts as assumedPromptTokens, whatever its urgency.
+// new request with this urgency, as of the report and the requests sent since. If the
+// report does not say how many tokens are unread, requests of other instances are known
+// only by their number: each counts as assumedPromptTokens, whatever its urgency.
 func (replica *replica) tokensAhead(urgency int, now time.Time) int {
+	if replica.reportFresh(now) && replica.report.Unread != nil {
+		return replica.unreadTokens(urgency, now)
+	}
 	tokens, ownStarting := 0, 0
 	for _, attempt := range replica.attempts {
 		if attempt.started {
@@ -152,6 +157,27 @@
 	return tokens
 }
 
+// unreadTokens returns the prompt tokens of this urgency or a higher one that the target
+// has yet to read: those of the report, less what it has read since, and those of requests
+// that this instance has sent since.
+func (replica *replica) unreadTokens(urgency int, now time.Time) int {
+	tokens := 0
+	for level, unread := range replica.report.Unread {
+		if level <= urgency {
+			tokens += unread
+		}
+	}
+	read := milliseconds(now.Sub(replica.report.At)) / replica.waits.perToken
+	tokens = max(tokens-int(read), 0)
+	unseen := replica.report.At.Add(-reportDelay)
+	for _, attempt := range replica.attempts {
+		if !attempt.started && attempt.urgency <= urgency && attempt.sentAt.After(unseen) {
+			tokens += attempt.promptTokens
+		}
+	}
+	return tokens
+}
+
 // uncachedTokens returns the prompt tokens of the request that are not in the
 // target's prefix cache.
 func (replica *replica) uncachedTokens(request *Request) int {
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiverill.example/kernel/directory"
 )
 
@@ -35,23 +37,42 @@
 	Objective       time.Duration // for the time to the first event; 0 if the route has none
 	StartBy         time.Time     // latest first event, after which the caller leaves
 	Deadline        time.Time     // latest end
-	keys            []string      // result of partKeys, computed on first use
+	keys            []uint32      // result of partKeys, computed on first use
 }
 
 // partKeys returns the keys of the request's parts in the prefix cache of a
-// target. They include model and adapter, since a part that is cached for one
-// model or adapter is of no use to another.
-func (request *Request) partKeys() []string {
+// target. They depend on model and adapter, since a part that is cached for one
+// model or adapter is of no use to another. Two parts may have the same key; an
+// estimate is wrong then.
+func (request *Request) partKeys() []uint32 {
 	if len(request.keys) == len(request.Parts) {
 		return request.keys
 	}
-	request.keys = make([]string, 0, len(request.Parts))
+	request.keys = make([]uint32, 0, len(request.Parts))
 	for _, part := range request.Parts {
-		request.keys = append(request.keys, request.Model+"/"+request.Adapter+"/"+part.ID)
+		request.keys = append(request.keys, uint32(xxhash.Sum64String(request.Model+"/"+request.Adapter+"/"+part.ID)))
 	}
 	return request.keys
 }
 
+// SharedPart is a part of a prompt that other requests may share, by its key in the prefix
+// cache.
+type SharedPart struct {
+	Key    uint32
+	Tokens int
+}
+
+// SharedParts returns the request's parts without the last one, which is its own.
+func (request *Request) SharedParts() []SharedPart {
+	var shared []SharedPart
+	for index, key := range request.partKeys() {
+		if index < len(request.Parts)-1 {
+			shared = append(shared, SharedPart{Key: key, Tokens: request.Parts[index].Tokens})
+		}
+	}
+	return shared
+}
+
 // kvTokens returns the tokens of KV cache that the request may take up.
 func (request *Request) kvTokens() int { return request.PromptTokens + request.MaxOutputTokens }
 
--- a/kernel/wire/codec.go
+++ b/kernel/wire/codec.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,28 @@
 
 func (fieldValue fieldValue) clone() []byte { return append([]byte(nil), fieldValue.bytes...) }
 
+// packed decodes a list of varints. It keeps the values before a malformed one.
+func (fieldValue fieldValue) packed() []uint64 {
+	var values []uint64
+	for data := fieldValue.bytes; len(data) > 0; {
+		value, size := protowire.ConsumeVarint(data)
+		if size < 0 {
+			break
+		}
+		values, data = append(values, value), data[size:]
+	}
+	return values
+}
+
+// keys decodes a list of 32-bit numbers. It ignores an incomplete one at the end.
+func (fieldValue fieldValue) keys() []uint32 {
+	var keys []uint32
+	for data := fieldValue.bytes; len(data) >= 4; data = data[4:] {
+		keys = append(keys, binary.LittleEndian.Uint32(data))
+	}
+	return keys
+}
+
 // parse passes every varint and length-delimited field in buf to message. Fields
 // of other wire types are passed with an empty value.
 func parse(buf []byte, message Message) error {
@@ -128,6 +151,24 @@
 	writer.buf = protowire.AppendBytes(writer.buf, value)
 }
 
+// packed encodes a list of varints as one field.
+func (writer *writer) packed(number protowire.Number, values []uint64) {
+	var data []byte
+	for _, value := range values {
+		data = protowire.AppendVarint(data, value)
+	}
+	writer.bytes(number, data)
+}
+
+// keys encodes a list of 32-bit numbers as one field.
+func (writer *writer) keys(number protowire.Number, keys []uint32) {
+	data := make([]byte, 0, 4*len(keys))
+	for _, key := range keys {
+		data = binary.LittleEndian.AppendUint32(data, key)
+	}
+	writer.bytes(number, data)
+}
+
 func (writer *writer) message(number protowire.Number, message Message) {
 	nested := *writer
 	nested.buf = nil
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -82,6 +82,9 @@
 	Entries          []string      // addresses of the subscribed entries
 	Full             bool          // the message contains the fields that CopyInventory copies
 	InventoryVersion uint64        // version of these fields, raised with every change
+	Unread           []uint64      // prompt tokens that the target has yet to read, by urgency
+	Cached           []uint32      // keys of shared prompt parts that came into the prefix cache or were used lately
+	Evicted          []uint32      // keys of shared prompt parts that left it lately
 }
 
 // CopyInventory copies the fields that change rarely, chiefly the models resident on
@@ -108,6 +111,21 @@
 	return &partial
 }
 
+// SentPrompt tells an agent of a prompt that an entry has sent to its target. It is not
+// repeated: if it is lost, the agent's knowledge lacks the prompt.
+type SentPrompt struct {
+	ID      string // of the request
+	Urgency int
+	Tokens  int
+	Parts   []PromptPart // shared leading parts
+}
+
+// PromptPart is a shared part of a prompt.
+type PromptPart struct {
+	Key    uint32
+	Tokens int
+}
+
 // Command asks an agent to load or unload models or adapters on its target.
 type Command struct {
 	ID       uint64
@@ -132,6 +150,7 @@
 	datagramTarget
 	datagramCommand
 	datagramResult
+	datagramPrompt
 )
 
 // EncodeDatagram encodes a message as one datagram. It fails when the message has no
@@ -147,6 +166,8 @@
 		kind = datagramCommand
 	case *CommandResult:
 		kind = datagramResult
+	case *SentPrompt:
+		kind = datagramPrompt
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -174,8 +195,10 @@
 		message = &Command{}
 	case datagramResult:
 		message = &CommandResult{}
+	case datagramPrompt:
+		message = &SentPrompt{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to 4", data[0])
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to 5", data[0])
 	}
 	return message, parse(data[1:], message)
 }
@@ -331,6 +354,9 @@
 	writer.strings(22, targetState.Entries)
 	writer.bool(23, targetState.Full)
 	writer.varint(24, targetState.InventoryVersion)
+	writer.packed(25, targetState.Unread)
+	writer.keys(26, targetState.Cached)
+	writer.keys(27, targetState.Evicted)
 }
 
 func (targetState *TargetState) setField(number protowire.Number, value fieldValue) {
@@ -360,8 +386,8 @@
 	}
 }
 
-// setLaterField decodes fields 11 to 24: memory, resident models, loads and
-// subscribers.
+// setLaterField decodes fields 11 to 27: memory, resident models, loads, subscribers and
+// prompts.
 func (targetState *TargetState) setLaterField(number protowire.Number, value fieldValue) {
 	switch number {
 	case 11:
@@ -395,6 +421,51 @@
 		targetState.Full = value.bool()
 	case 24:
 		targetState.InventoryVersion = value.varint
+	case 25:
+		targetState.Unread = value.packed()
+	case 26:
+		targetState.Cached = value.keys()
+	case 27:
+		targetState.Evicted = value.keys()
+	}
+}
+
+func (sentPrompt *SentPrompt) appendTo(writer *writer) {
+	writer.string(1, sentPrompt.ID)
+	writer.int(2, sentPrompt.Urgency)
+	writer.int(3, sentPrompt.Tokens)
+	for index := range sentPrompt.Parts {
+		writer.message(4, &sentPrompt.Parts[index])
+	}
+}
+
+func (sentPrompt *SentPrompt) setField(number protowire.Number, value fieldValue) {
+	switch number {
+	case 1:
+		sentPrompt.ID = value.string()
+	case 2:
+		sentPrompt.Urgency = value.int()
+	case 3:
+		sentPrompt.Tokens = value.int()
+	case 4:
+		var part PromptPart
+		if parse(value.bytes, &part) == nil {
+			sentPrompt.Parts = append(sentPrompt.Parts, part)
+		}
+	}
+}
+
+func (promptPart *PromptPart) appendTo(writer *writer) {
+	writer.varint(1, uint64(promptPart.Key))
+	writer.int(2, promptPart.Tokens)
+}
+
+func (promptPart *PromptPart) setField(number protowire.Number, value fieldValue) {
+	switch number {
+	case 1:
+		promptPart.Key = uint32(value.varint)
+	case 2:
+		promptPart.Tokens = value.int()
 	}
 }
 
