Keep prompts in a row shorter than the pauses that streams may make

Change: the cost of a target adds 0.1 of the running requests' time by which the prompts in a row, of any urgency and with the new one, exceed 0.8 of the longest pause in time.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -160,7 +160,7 @@
 	}
 	call.placement = dispatch.Request{
 		Service: call.service, Urgency: urgency, Arrived: call.arrived, Deadline: call.deadline,
-		StartBy: call.deadline, Objective: route.Objective(),
+		StartBy: call.deadline, Objective: route.Objective(), EventGap: route.EventGap(),
 	}
 	if timeout := route.EventTimeout(); timeout > 0 && timeout < call.deadline.Sub(call.arrived) {
 		call.placement.StartBy = call.arrived.Add(timeout)
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -14,6 +14,8 @@
 	adapterLoadTime      = 15 * time.Millisecond // as specified for the deployments
 	remotePenalty        = 8 * time.Millisecond  // keeps requests in the data centre at similar load
 	delayWeight          = 0.02                  // cost of a delay of a running request, relative to the wait of the request itself
+	pauseWeight          = 0.1                   // the same for the part of a delay by which events come too late
+	maxPauseFraction     = 0.8                   // of the longest pause between events that is in time, for which a target may read prompts in a row
 	backoffPenalty       = 3 * time.Second       // ranks a target in backoff behind all with a similar wait
 	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
 	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
@@ -97,9 +99,7 @@
 			candidate.wait -= min(affinityDiscount, candidate.wait)
 		}
 	}
-	// Each running request waits while the target reads the prompt.
-	delay := replica.waits.readTime(replica.uncachedTokens(request)) * time.Duration(replica.occupancy(now))
-	candidate.cost = candidate.wait + time.Duration(float64(delay)*delayWeight) + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
+	candidate.cost = candidate.wait + replica.delayCost(request, now) + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
 	if replica.target.DataCentre() != dispatcher.dataCentre {
 		candidate.cost += remotePenalty
 	}
@@ -109,6 +109,21 @@
 	return candidate
 }
 
+// delayCost returns the cost of the delay of the requests that run at the target while
+// it reads the request's prompt. If it reads prompts for longer than a pause between
+// events may last, the events of those requests come late.
+func (replica *replica) delayCost(request *Request, now time.Time) time.Duration {
+	running := float64(replica.occupancy(now))
+	uncached := replica.uncachedTokens(request)
+	cost := delayWeight * running * float64(replica.waits.readTime(uncached))
+	if request.EventGap > 0 {
+		inRow := replica.waits.readTime(replica.tokensAhead(maxUrgency, now) + uncached)
+		excess := float64(inRow) - maxPauseFraction*float64(request.EventGap)
+		cost += pauseWeight * running * max(excess, 0)
+	}
+	return time.Duration(cost)
+}
+
 // adapterKey identifies an adapter of a model of a service.
 type adapterKey struct{ service, model, adapter string }
 
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -507,3 +507,19 @@
 	short.PromptTokens = 50
 	assert.Equal(t, sentTo(t, dispatcher.Choose(short, nil, start)), "a")
 }
+
+// While a target reads prompts in a row, the events of its running requests come late. A
+// prompt that makes the row too long goes to another target, even if that has more to read.
+func TestPromptsInARowAreShorterThanPausesThatAreInTime(t *testing.T) {
+	models := []directory.ResidentModel{{Model: "m"}}
+	request := newTestRequest()
+	request.PromptTokens, request.Urgency = 5000, 0
+	for gap, want := range map[time.Duration]string{0: "a", 10 * time.Second: "a", 400 * time.Millisecond: "b"} {
+		dispatcher, keys := newTestDispatcher("a", "b")
+		// The prompts before it are less urgent, so that they do not delay the request itself.
+		dispatcher.SetReport(keys[0], directory.Report{At: start, Running: 3, Unread: []int{0, 4000}, Models: models})
+		dispatcher.SetReport(keys[1], directory.Report{At: start, Running: 3, Unread: []int{300, 0}, Models: models})
+		request.EventGap = gap
+		assert.Equal(t, sentTo(t, dispatcher.Choose(request, nil, start)), want, "pauses of up to %v", gap)
+	}
+}
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -11,6 +11,7 @@
 
 const (
 	assumedPromptTokens   = 1800                    // tokens assumed for a prompt that another instance sent
+	maxUrgency            = 9                       // the least urgent
 	reportDelay           = 3 * time.Millisecond    // from the sending of a request to the earliest report that counts it
 	reportTTL             = 1500 * time.Millisecond // load in a report older than this is ignored
 	minBackoff            = 250 * time.Millisecond
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -35,6 +35,7 @@
 	Excess          bool // above the customer's rate; served only if it delays no other request
 	Arrived         time.Time
 	Objective       time.Duration // for the time to the first event; 0 if the route has none
+	EventGap        time.Duration // longest pause between events that is in time; 0 if the route states none
 	StartBy         time.Time     // latest first event, after which the caller leaves
 	Deadline        time.Time     // latest end
 	keys            []uint32      // result of partKeys, computed on first use
