Answer requests on connections accepted just before the listener closes

Cause: TestStopDuringLongStreamAnswersShortRequests failed once with EOF. At the end of a stop the listener is closed and with it all idle connections, also one that was accepted in the same moment and whose first request is on its way.

Change: connections without a request are closed only once they are older than newConnGrace, and the stop waits for younger ones.

--- a/entry/gateway/callerlistener.go
+++ b/entry/gateway/callerlistener.go
@@ -68,11 +68,23 @@
 	return count
 }
 
-// stopAccepting closes the listener and the idle connections; requests that have
-// been read are still answered.
+// openSince returns the number of connections that have a request in progress, or were
+// opened after the given time, so that their first request may be on its way.
+func (callerListener *callerListener) openSince(after time.Time) int {
+	callerListener.mu.Lock()
+	defer callerListener.mu.Unlock()
+	count := 0
+	for callerConn := range callerListener.conns {
+		if callerConn.answering.Load() || callerConn.reading.Load() || callerConn.opened.After(after) {
+			count++
+		}
+	}
+	return count
+}
+
+// stopAccepting closes the listener. Connections that it has accepted stay open.
 func (callerListener *callerListener) stopAccepting() {
 	_ = callerListener.Listener.Close() // it may be closed already
-	callerListener.closeIdle(time.Now())
 }
 
 // callerConn is a caller's connection.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -263,7 +263,12 @@
 	}
 	gateway.ending.Store(true)
 	gateway.callers.stopAccepting()
-	for gateway.callers.activeRequests() > 0 && gateway.clock.Now().Before(end) && ctx.Err() == nil {
+	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
+		grace := gateway.clock.Now().Add(-newConnGrace)
+		gateway.callers.closeIdle(grace)
+		if gateway.callers.openSince(grace) == 0 {
+			break
+		}
 		gateway.sleep(ctx, stopPollInterval)
 	}
 	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
