--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -35,12 +35,14 @@
 	now := gateway.clock.Now()
 	name := from.String()
 	gateway.mu.Lock()
+	gateway.limiter.ApplyReport(name, state.Incarnation, valuesByName(state.Spent), valuesByName(state.RateLeft), now)
 	if state.Leaving {
 		gateway.limiter.RemovePeer(name)
-	} else {
-		gateway.limiter.ApplyReport(name, state.Incarnation, valuesByName(state.Spent), valuesByName(state.BucketLevels), now)
 	}
 	gateway.mu.Unlock()
+	if state.AsksReport {
+		peers.reply(from)
+	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.Leaving {
@@ -110,6 +112,7 @@
 	}
 	gateway.mu.Lock()
 	gateway.dispatcher.SetReport(key, newReport(state, now))
+	gateway.dispatcher.SetCachedParts(key, state.Cached, state.Evicted, now)
 	gateway.dispatcher.SetLoadsInProgress(loading)
 	gateway.mu.Unlock()
 	gateway.changed.broadcast()
@@ -146,6 +149,9 @@
 		BusyFor: state.BusyFor, Draining: state.Draining, RemovedIn: state.RemovedIn, Sequence: state.Sequence, UsedKV: state.UsedKV,
 		TotalKV: state.TotalKV, LoadingAdapters: state.Pending, HostModels: state.Host, DiskModels: state.Disk, StartedAt: state.StartedAt,
 	}
+	for _, tokens := range state.Unread {
+		report.Unread = append(report.Unread, int(tokens))
+	}
 	for _, resident := range state.Models {
 		report.Models = append(report.Models, directory.ResidentModel{Model: resident.Model, Adapters: resident.Adapters})
 	}
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -13,10 +13,14 @@
 	slotWaitPerRequest   = 40 * time.Millisecond // wait for a slot at a full target, for each request in excess
 	adapterLoadTime      = 15 * time.Millisecond // as specified for the deployments
 	remotePenalty        = 8 * time.Millisecond  // keeps requests in the data centre at similar load
+	delayWeight          = 0.02                  // cost of a delay of a running request, relative to the wait of the request itself
+	pauseWeight          = 0.1                   // the same for the part of a delay by which events come too late
+	maxPauseFraction     = 0.8                   // of the longest pause between events that is in time, for which a target may read prompts in a row
 	backoffPenalty       = 3 * time.Second       // ranks a target in backoff behind all with a similar wait
 	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
 	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
-	maxQueueFraction     = 0.35                  // largest share of the objective spent queueing; longer queues make every request late
+	maxQueueFraction     = 0.25                  // largest share of the objective spent queueing; longer queues make every request late
+	maxSpareQueueTime    = 50 * time.Millisecond // longest queue that a request above its customer's rate may join
 	maxWaitFraction      = 0.9                   // largest share of the time until start-by that a wait may take
 	minRetryAfter        = 100 * time.Millisecond
 	defaultRetryAfter    = time.Second
@@ -79,14 +83,15 @@
 	replica        *replica
 	cost           time.Duration // wait plus penalties; the lowest is chosen
 	wait           time.Duration // until the first event, less affinityDiscount at the preferred target if it must load the adapter first
-	promptReadTime time.Duration // part of wait in which the target reads the request's own prompt
+	promptReadTime time.Duration // part of wait from the start of reading the request's own prompt
 	loadAdapter    bool          // the adapter must be loaded first
 }
 
 // evaluate estimates a request's wait and cost at a target. While the preferred
 // target of an adapter does not hold it, its wait is reduced by affinityDiscount.
 func (dispatcher *Dispatcher) evaluate(replica *replica, request *Request, preferred bool, now time.Time) candidate {
-	candidate := candidate{replica: replica, wait: replica.firstEventWait(request, now), promptReadTime: replica.promptReadTime(request)}
+	candidate := candidate{replica: replica, promptReadTime: replica.promptReadTime(request)}
+	candidate.wait = replica.queueTime(request, now) + candidate.promptReadTime
 	if !replica.holdsAdapter(request.Model, request.Adapter) {
 		candidate.loadAdapter = true
 		candidate.wait += replica.adapterWait(now)
@@ -94,7 +99,7 @@
 			candidate.wait -= min(affinityDiscount, candidate.wait)
 		}
 	}
-	candidate.cost = candidate.wait + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
+	candidate.cost = candidate.wait + replica.delayCost(request, now) + time.Duration(replica.decayedFailureRate(now)*float64(failureRatePenalty))
 	if replica.target.DataCentre() != dispatcher.dataCentre {
 		candidate.cost += remotePenalty
 	}
@@ -104,6 +109,21 @@
 	return candidate
 }
 
+// delayCost returns the cost of the delay of the requests that run at the target while
+// it reads the request's prompt. If it reads prompts for longer than a pause between
+// events may last, the events of those requests come late.
+func (replica *replica) delayCost(request *Request, now time.Time) time.Duration {
+	running := float64(replica.occupancy(now))
+	uncached := replica.uncachedTokens(request)
+	cost := delayWeight * running * float64(replica.waits.readTime(uncached))
+	if request.EventGap > 0 {
+		inRow := replica.waits.readTime(replica.tokensAhead(maxUrgency, now) + uncached)
+		excess := float64(inRow) - maxPauseFraction*float64(request.EventGap)
+		cost += pauseWeight * running * max(excess, 0)
+	}
+	return time.Duration(cost)
+}
+
 // adapterKey identifies an adapter of a model of a service.
 type adapterKey struct{ service, model, adapter string }
 
@@ -183,6 +203,8 @@
 		maxWait := time.Duration(float64(request.StartBy.Sub(now)) * maxWaitFraction)
 		maxQueueTime := time.Duration(float64(request.Objective) * maxQueueFraction)
 		switch {
+		case request.Excess && candidate.wait-candidate.promptReadTime > maxSpareQueueTime:
+			return Refuse{Reason: NoSpare, RetryAfter: defaultRetryAfter, Estimate: candidate.estimate(request, now)}
 		case candidate.wait > maxWait:
 			return Refuse{Reason: Saturated, RetryAfter: max(candidate.wait-maxWait/2, minRetryAfter), Estimate: candidate.estimate(request, now)}
 		case request.Objective > 0 && candidate.wait-candidate.promptReadTime > maxQueueTime:
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -10,13 +10,10 @@
 )
 
 const (
-	initialPromptRate     = 16.0                    // prompt tokens per millisecond until one is measured; below the engines' published rate
-	promptRateSmoothing   = 0.15                    // weight of the newest measurement
-	minPromptRate         = 2.0                     // prompt tokens per millisecond
-	maxPromptRate         = 80.0                    // prompt tokens per millisecond
 	assumedPromptTokens   = 1800                    // tokens assumed for a prompt that another instance sent
+	maxUrgency            = 9                       // the least urgent
+	reportDelay           = 3 * time.Millisecond    // from the sending of a request to the earliest report that counts it
 	reportTTL             = 1500 * time.Millisecond // load in a report older than this is ignored
-	minMeasurableWait     = 20 * time.Millisecond   // network latency dominates shorter waits
 	minBackoff            = 250 * time.Millisecond
 	maxBackoff            = 2 * time.Second
 	failuresBeforeBackoff = 3                       // consecutive failures
@@ -48,14 +45,14 @@
 	target          *directory.Target
 	unlisted        bool // no longer listed, kept until its attempts end
 	report          directory.Report
-	reported        bool                 // report is set
-	listOutdated    bool                 // the models in the list were found to be wrong and are not used
-	models          map[string][]string  // adapters by model
-	attempts        map[uint64]*attempt  // by number
-	promptRate      float64              // prompt tokens per millisecond
+	reported        bool                // report is set
+	listOutdated    bool                // the models in the list were found to be wrong and are not used
+	models          map[string][]string // adapters by model
+	attempts        map[uint64]*attempt // by number
+	waits           *waitModel
 	failures        int                  // consecutive
 	backoffUntil    time.Time            // until then, backoffPenalty is added to the cost
-	cachedParts     map[string]time.Time // time of the last use, by part key
+	cachedParts     map[uint32]time.Time // time of the last use, by part key
 	loadingAdapters map[string]time.Time // time of the order, by MODEL/ADAPTER
 	lastActivity    time.Time            // last answer or event
 	failureRate     float64              // share of recent requests that failed, as of failureRateTime
@@ -64,8 +61,8 @@
 
 func newReplica(target *directory.Target) *replica {
 	replica := &replica{
-		target: target, attempts: map[uint64]*attempt{}, promptRate: initialPromptRate,
-		cachedParts: map[string]time.Time{}, loadingAdapters: map[string]time.Time{},
+		target: target, attempts: map[uint64]*attempt{}, waits: newWaitModel(),
+		cachedParts: map[uint32]time.Time{}, loadingAdapters: map[string]time.Time{},
 	}
 	replica.setModels(target.Models())
 	return replica
@@ -136,9 +133,13 @@
 }
 
 // tokensAhead returns the prompt tokens that the target reads before those of a
-// new request with this urgency. Requests of other instances are known only by
-// their number: each counts as assumedPromptTokens, whatever its urgency.
+// new request with this urgency, as of the report and the requests sent since. If the
+// report does not say how many tokens are unread, requests of other instances are known
+// only by their number: each counts as assumedPromptTokens, whatever its urgency.
 func (replica *replica) tokensAhead(urgency int, now time.Time) int {
+	if replica.reportFresh(now) && replica.report.Unread != nil {
+		return replica.unreadTokens(urgency, now)
+	}
 	tokens, ownStarting := 0, 0
 	for _, attempt := range replica.attempts {
 		if attempt.started {
@@ -157,6 +158,27 @@
 	return tokens
 }
 
+// unreadTokens returns the prompt tokens of this urgency or a higher one that the target
+// has yet to read: those of the report, less what it has read since, and those of requests
+// that this instance has sent since.
+func (replica *replica) unreadTokens(urgency int, now time.Time) int {
+	tokens := 0
+	for level, unread := range replica.report.Unread {
+		if level <= urgency {
+			tokens += unread
+		}
+	}
+	read := milliseconds(now.Sub(replica.report.At)) / replica.waits.perToken
+	tokens = max(tokens-int(read), 0)
+	unseen := replica.report.At.Add(-reportDelay)
+	for _, attempt := range replica.attempts {
+		if !attempt.started && attempt.urgency <= urgency && attempt.sentAt.After(unseen) {
+			tokens += attempt.promptTokens
+		}
+	}
+	return tokens
+}
+
 // uncachedTokens returns the prompt tokens of the request that are not in the
 // target's prefix cache.
 func (replica *replica) uncachedTokens(request *Request) int {
@@ -170,9 +192,9 @@
 	return max(left, 0)
 }
 
-// firstEventWait estimates the time until the request's first event.
-func (replica *replica) firstEventWait(request *Request, now time.Time) time.Duration {
-	wait := replica.readTime(replica.tokensAhead(request.Urgency, now)) + replica.promptReadTime(request)
+// queueTime estimates the time until the target begins to read the request's prompt.
+func (replica *replica) queueTime(request *Request, now time.Time) time.Duration {
+	wait := replica.waits.readTime(replica.tokensAhead(request.Urgency, now))
 	slots := max(replica.target.Slots(), 1)
 	if over := replica.occupancy(now) - slots + 1; over > 0 {
 		wait += time.Duration(over) * slotWaitPerRequest
@@ -180,13 +202,10 @@
 	return wait
 }
 
-// promptReadTime estimates the time to read the request's own prompt.
+// promptReadTime estimates the time from the start of reading the request's own prompt to
+// the first event.
 func (replica *replica) promptReadTime(request *Request) time.Duration {
-	return replica.readTime(replica.uncachedTokens(request))
-}
-
-func (replica *replica) readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / replica.promptRate * float64(time.Millisecond))
+	return replica.waits.firstEvent() + replica.waits.readTime(replica.uncachedTokens(request))
 }
 
 // adapterWait estimates the time until an adapter that is ordered now is loaded.
@@ -197,17 +216,6 @@
 	return adapterLoadTime + max(replica.report.BusyFor-now.Sub(replica.report.At), minOrderRemaining)
 }
 
-// observePromptRate updates the prompt rate from the time to a first event, in
-// which the target read this many tokens.
-func (replica *replica) observePromptRate(tokens int, elapsed time.Duration) {
-	if tokens == 0 || elapsed < minMeasurableWait {
-		return
-	}
-	rate := float64(tokens) / (float64(elapsed) / float64(time.Millisecond))
-	rate = min(max(rate, minPromptRate), maxPromptRate)
-	replica.promptRate += promptRateSmoothing * (rate - replica.promptRate)
-}
-
 // sampleFailure adds an outcome to the failure rate; sample is between 0 for a
 // success and 1 for a failure.
 func (replica *replica) sampleFailure(sample float64, now time.Time) {
