Read the limiter and the choice once more

Comments of the package and of the window say what they mean in order; delayCost stands with the other estimates of a target. No behaviour changes; the tests of both packages pass.

--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -109,21 +109,6 @@
 	return candidate
 }
 
-// delayCost returns the cost of the delay of the requests that run at the target while
-// it reads the request's prompt. If it reads prompts for longer than a pause between
-// events may last, the events of those requests come late.
-func (replica *replica) delayCost(request *Request, now time.Time) time.Duration {
-	running := float64(replica.occupancy(now))
-	uncached := replica.uncachedTokens(request)
-	cost := delayWeight * running * float64(replica.waits.readTime(uncached))
-	if request.EventGap > 0 {
-		inRow := replica.waits.readTime(replica.tokensAhead(maxUrgency, now) + uncached)
-		excess := float64(inRow) - maxPauseFraction*float64(request.EventGap)
-		cost += pauseWeight * running * max(excess, 0)
-	}
-	return time.Duration(cost)
-}
-
 // adapterKey identifies an adapter of a model of a service.
 type adapterKey struct{ service, model, adapter string }
 
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -208,6 +208,21 @@
 	return replica.waits.firstEvent() + replica.waits.readTime(replica.uncachedTokens(request))
 }
 
+// delayCost returns the cost of the delay of the requests that run at the target while
+// it reads the request's prompt. If it reads prompts for longer than a pause between
+// events may last, the events of those requests come late.
+func (replica *replica) delayCost(request *Request, now time.Time) time.Duration {
+	running := float64(replica.occupancy(now))
+	uncached := replica.uncachedTokens(request)
+	cost := delayWeight * running * float64(replica.waits.readTime(uncached))
+	if request.EventGap > 0 {
+		inRow := replica.waits.readTime(replica.tokensAhead(maxUrgency, now) + uncached)
+		excess := float64(inRow) - maxPauseFraction*float64(request.EventGap)
+		cost += pauseWeight * running * max(excess, 0)
+	}
+	return time.Duration(cost)
+}
+
 // adapterWait estimates the time until an adapter that is ordered now is loaded.
 func (replica *replica) adapterWait(now time.Time) time.Duration {
 	if !replica.report.Busy {
--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -62,10 +62,10 @@
 	account.refresh(now)
 }
 
-// refresh computes inWindow from total.
+// refresh computes inWindow from total and the part of the oldest slice that has expired.
 func (account *account) refresh(now time.Time) {
-	left := float64(now.UnixNano()%int64(account.sliceLength)) / float64(account.sliceLength)
-	account.inWindow = account.total - left*account.slices[(account.newest+1)%(windowSlices+1)]
+	expired := float64(now.UnixNano()%int64(account.sliceLength)) / float64(account.sliceLength) // part of the oldest slice
+	account.inWindow = account.total - expired*account.slices[(account.newest+1)%(windowSlices+1)]
 }
 
 // record adds spending of the fleet that happened at an earlier time or now.
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -5,11 +5,12 @@
 // to each other periodically. Since an entry does not see what the others spend between
 // two reports, it may spend an even share of what was left in the meantime. While other
 // entries are silent, the rest of the fleet limits itself to its even share of the whole
-// limit, so that the parts of a partitioned fleet stay within it. The window allows more
-// than the rate in the long run; Take marks what exceeds a token bucket of rate and burst. The share of a silent
-// entry is used again only once that entry is known to have stopped. The package does no
-// I/O and is not safe for concurrent use; package gateway guards the Limiter with a lock
-// and exchanges the reports. Package quota limits rates in another way, by shares of them.
+// limit, so that the parts of a partitioned fleet stay within it. The share of a silent
+// entry is used again only once that entry is known to have stopped. The window allows
+// more than the rate in the long run; Take marks what exceeds a token bucket of rate and
+// burst. The package does no I/O and is not safe for concurrent use; package gateway
+// guards the Limiter with a lock and exchanges the reports. Package quota limits rates in
+// another way, by shares of them.
 package ratelimit
 
 import (
