--- a/kernel/dispatch/overload_test.go
+++ b/kernel/dispatch/overload_test.go
@@ -21,9 +21,10 @@
 }
 
 type queuedRequest struct {
-	request  *Request
-	number   uint64
-	readTime time.Duration
+	request   *Request
+	aboveRate bool // of a customer above its rate
+	number    uint64
+	readTime  time.Duration
 }
 
 // next dequeues the request whose prompt the engine begins to read now, nil if
@@ -43,14 +44,16 @@
 // objective is the time to the first event within which an answer is in time.
 const objective = 600 * time.Millisecond
 
-// tally counts requests by their result.
-type tally struct{ offered, inTime, late, refused, abandoned int }
+// tally counts requests by their result. Every second request is of a customer that keeps
+// to its rate; ownRate counts those that are answered in time.
+type tally struct{ offered, inTime, late, refused, abandoned, ownRate int }
 
 // simulateOverload offers two engines twice the prompt tokens that they can read,
 // in prompts of many sizes, for ten simulated seconds. The dispatcher bounds queues
 // by maxQueueFraction of queueObjective; with zero, only the start-by time bounds
-// them.
-func simulateOverload(seed uint64, queueObjective time.Duration) tally {
+// them. Half of the requests are of a customer above its rate, and marked so if
+// markExcess is set.
+func simulateOverload(seed uint64, queueObjective time.Duration, markExcess bool) tally {
 	const (
 		rate   = 16.0         // tokens per millisecond, of one engine
 		demand = 2 * 2 * rate // tokens per millisecond, twice the rate of two engines
@@ -70,6 +73,8 @@
 				Service: "llm", Model: "m", PromptTokens: 400 + random.IntN(4000), MaxOutputTokens: 22, Urgency: random.IntN(3), Arrived: now,
 				Objective: queueObjective, StartBy: now.Add(4 * objective), Deadline: now.Add(5 * time.Second),
 			}
+			aboveRate := result.offered%2 == 0
+			request.Excess = markExcess && aboveRate
 			send, ok := dispatcher.Choose(request, nil, now).(Send)
 			if !ok {
 				result.refused++
@@ -77,7 +82,7 @@
 			}
 			engine := engines[send.Target.ID()]
 			engine.queue = append(engine.queue, &queuedRequest{
-				request: request, number: dispatcher.RecordSent(engine.key, request, now),
+				request: request, aboveRate: aboveRate, number: dispatcher.RecordSent(engine.key, request, now),
 				readTime: time.Duration(float64(request.PromptTokens) / rate * float64(time.Millisecond)),
 			})
 		}
@@ -99,6 +104,9 @@
 			engine.freeAt, engine.active = now.Add(first.readTime), first
 			if engine.freeAt.Sub(first.request.Arrived) <= objective {
 				result.inTime++
+				if !first.aboveRate {
+					result.ownRate++
+				}
 			} else {
 				result.late++
 			}
@@ -113,6 +121,7 @@
 	tally.late += other.late
 	tally.refused += other.refused
 	tally.abandoned += other.abandoned
+	tally.ownRate += other.ownRate
 }
 
 // score weights late answers as the deployments specify.
@@ -125,8 +134,8 @@
 func TestOverloadWithBoundedQueuesServesMoreInTime(t *testing.T) {
 	var bounded, unbounded tally
 	for seed := range uint64(8) {
-		bounded.add(simulateOverload(seed, objective))
-		unbounded.add(simulateOverload(seed, 0))
+		bounded.add(simulateOverload(seed, objective, false))
+		unbounded.add(simulateOverload(seed, 0, false))
 	}
 	t.Logf("bounded %+v, unbounded %+v", bounded, unbounded)
 	assert.Assert(t, bounded.inTime > unbounded.inTime)
@@ -134,3 +143,17 @@
 	assert.Assert(t, bounded.score() > unbounded.score())
 	assert.Equal(t, bounded.abandoned, 0)
 }
+
+// A customer that asks for as much above its rate as the engines can read must not take
+// the places of one that keeps to its rate.
+func TestExcessOfOneCustomerLeavesRoomForOthers(t *testing.T) {
+	var marked, unmarked tally
+	for seed := range uint64(8) {
+		marked.add(simulateOverload(seed, objective, true))
+		unmarked.add(simulateOverload(seed, objective, false))
+	}
+	t.Logf("marked %+v, unmarked %+v", marked, unmarked)
+	own := marked.offered / 2
+	assert.Assert(t, marked.ownRate > unmarked.ownRate, "%d and %d of %d in time", marked.ownRate, unmarked.ownRate, own)
+	assert.Assert(t, marked.inTime > marked.ownRate, "what is idle serves requests above the rate")
+}
