Name requested reports and unconfirmed spending by what they are

Cause: asksReport, heard and unknown say who does something, not what the value is. Ruled out: renaming the wire field's number, which other releases read.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -18,35 +18,35 @@
 )
 
 const (
-	stateInterval    = 200 * time.Millisecond // between two messages of an entry to each instance, with fewer than peersPerInterval other entries
-	membersInterval  = 5                      // rounds of messages, of which one lists other entries
-	maxMembers       = 8                      // entries listed in a message
-	memberMaxAge     = 3 * time.Second        // entries silent for longer are not listed
-	peersPerInterval = 8                      // each such number of other entries lengthens the time between messages by stateInterval
-	peerTimeout      = 30 * time.Second       // entries silent for longer are removed
-	askInterval      = 20 * time.Millisecond  // between two requests for the state of all entries
-	agentPortOffset  = 1                      // agents listen on the port after that of entries
+	stateInterval         = 200 * time.Millisecond // between two messages of an entry to each instance, with fewer than peersPerInterval other entries
+	membersInterval       = 5                      // rounds of messages, of which one lists other entries
+	maxMembers            = 8                      // entries listed in a message
+	memberMaxAge          = 3 * time.Second        // entries silent for longer are not listed
+	peersPerInterval      = 8                      // each such number of other entries lengthens the time between messages by stateInterval
+	peerTimeout           = 30 * time.Second       // entries silent for longer are removed
+	reportRequestInterval = 20 * time.Millisecond  // between two requests for the state of all entries
+	agentPortOffset       = 1                      // agents listen on the port after that of entries
 )
 
 // peers exchanges datagrams with other entries and with agents. Sending of
 // state is in this file, receiving in receiving.go, and commands to agents in
 // commands.go.
 type peers struct {
-	gateway      *Gateway
-	socket       *datagram.Socket                                 // set once by run, with mu held; nil before
-	lastCommand  atomic.Uint64                                    // number of the last command
-	sendNow      chan struct{}                                    // starts the next round of messages early
-	mu           sync.Mutex                                       // guards the fields below
-	rounds       uint64                                           // rounds of messages sent
-	askedAt      time.Time                                        // when askReports last sent a message
-	left         bool                                             // the others have been notified that this instance has stopped
-	modelMissing bool                                             // since the last round, a request asked for a model that no target holds
-	entries      map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
-	results      map[uint64]chan *wire.CommandResult              // channels for the results of commands, by command ID
-	usedAdapters map[directory.TargetKey]map[wire.AdapterUse]bool // adapters used since the last round
-	agentStates  map[directory.TargetKey]agentState               // last messages of agents
-	demand       map[string]float64                               // demand by model since the start of the process, in prompt tokens
-	peerStates   map[netip.AddrPort]peerState                     // last messages of entries
+	gateway            *Gateway
+	socket             *datagram.Socket                                 // set once by run, with mu held; nil before
+	lastCommand        atomic.Uint64                                    // number of the last command
+	sendNow            chan struct{}                                    // starts the next round of messages early
+	mu                 sync.Mutex                                       // guards the fields below
+	rounds             uint64                                           // rounds of messages sent
+	reportsRequestedAt time.Time                                        // when requestReports last sent a message
+	left               bool                                             // the others have been notified that this instance has stopped
+	modelMissing       bool                                             // since the last round, a request asked for a model that no target holds
+	entries            map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
+	results            map[uint64]chan *wire.CommandResult              // channels for the results of commands, by command ID
+	usedAdapters       map[directory.TargetKey]map[wire.AdapterUse]bool // adapters used since the last round
+	agentStates        map[directory.TargetKey]agentState               // last messages of agents
+	demand             map[string]float64                               // demand by model since the start of the process, in prompt tokens
+	peerStates         map[netip.AddrPort]peerState                     // last messages of entries
 }
 
 // agentState is an agent's last message and its time of arrival.
@@ -184,21 +184,21 @@
 	return state
 }
 
-// askReports sends this instance's state to all entries and asks for theirs, at most once
-// per askInterval.
-func (peers *peers) askReports() {
+// requestReports sends this instance's state to all entries and asks for theirs, at most once
+// per reportRequestInterval.
+func (peers *peers) requestReports() {
 	now := peers.gateway.clock.Now()
 	peers.mu.Lock()
-	early := now.Sub(peers.askedAt) < askInterval
+	early := now.Sub(peers.reportsRequestedAt) < reportRequestInterval
 	if !early {
-		peers.askedAt = now
+		peers.reportsRequestedAt = now
 	}
 	peers.mu.Unlock()
 	if early {
 		return
 	}
 	state := peers.newState(true, now)
-	state.AsksReport = true
+	state.ReportRequested = true
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if peers.socket == nil || peers.left {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -40,7 +40,7 @@
 		gateway.limiter.RemovePeer(name)
 	}
 	gateway.mu.Unlock()
-	if state.AsksReport {
+	if state.ReportRequested {
 		peers.reply(from)
 	}
 	peers.mu.Lock()
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -128,8 +128,8 @@
 	return call
 }
 
-// admit finds the route, customer and service of a request, and sets its deadline. It refuses requests that the instance no longer
-// admits because it is stopping.
+// admit finds the route, customer and service of a request, and sets its deadline. It
+// refuses requests that the instance no longer admits because it is stopping.
 func (call *call) admit(current *directory.Directory, host, path string) *code.Fault {
 	route := current.Match(host, path)
 	if route == nil {
@@ -188,7 +188,7 @@
 			return fault
 		}
 		if wait == 0 {
-			gateway.peers.askReports()
+			gateway.peers.requestReports()
 		}
 		select {
 		case <-gateway.clock.After(max(wait, minRateWait)):
--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -13,9 +13,9 @@
 	level       float64 // of the bucket that the rate fills up to the burst, at least 0
 	filledAt    time.Time
 	spent       float64 // by this entry since it started
-	unknown     float64 // by this entry, and perhaps not known to the others
+	unconfirmed float64 // by this entry, and perhaps not known to the others
 	settledAt   time.Time
-	sinceReport float64 // part of unknown since the report of the open round
+	sinceReport float64 // part of unconfirmed since the report of the open round
 	share       float64 // of what was left when the account was settled, for this entry
 	sliceLength time.Duration
 	slices      [windowSlices + 1]float64 // spending per time slice, as a ring; the window covers the oldest in part
@@ -86,7 +86,7 @@
 func (account *account) spend(cost float64, now time.Time) {
 	account.record(cost, now, now)
 	account.spent += cost
-	account.unknown += cost
+	account.unconfirmed += cost
 	account.sinceReport += cost
 }
 
@@ -106,7 +106,7 @@
 func (account *account) settle(reachable, all int, now time.Time) {
 	account.advance(now)
 	account.settledAt = now
-	account.unknown = account.sinceReport
+	account.unconfirmed = account.sinceReport
 	account.share = account.evenShare(reachable, all)
 }
 
@@ -114,7 +114,7 @@
 // the others knowing.
 func (account *account) evenShare(reachable, all int) float64 {
 	limit := account.limit * float64(reachable) / float64(all)
-	return (limit - account.inWindow + account.unknown) / float64(reachable)
+	return (limit - account.inWindow + account.unconfirmed) / float64(reachable)
 }
 
 // reduceShare adapts the share to spending that another entry has reported. The other
@@ -136,11 +136,11 @@
 // known to the others may take half of what was left, and all of it just after the
 // account was settled.
 func (account *account) mayShare(cost float64, all int, now time.Time) bool {
-	if account.unknown+cost <= account.share+account.limit*shareTolerance/float64(all) {
+	if account.unconfirmed+cost <= account.share+account.limit*shareTolerance/float64(all) {
 		return true
 	}
 	left := account.limit - account.inWindow
-	return account.unknown <= 0 && (cost <= left/2 || now.Sub(account.settledAt) < settlementTTL)
+	return account.unconfirmed <= 0 && (cost <= left/2 || now.Sub(account.settledAt) < settlementTTL)
 }
 
 // timeUntilFree returns how long it takes until spending of the given amount has left
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -42,7 +42,7 @@
 type peer struct {
 	incarnation uint64
 	lastReport  time.Time
-	heard       bool               // has reported since the round was opened
+	reported    bool               // has reported since the round was opened
 	stoppedAt   time.Time          // since when the peer is known to have stopped, zero if it is not
 	spent       map[string]float64 // spending by customer since the peer started
 }
@@ -120,7 +120,7 @@
 	}
 	limiter.roundOpen = true
 	for _, peer := range limiter.peers {
-		peer.heard = false
+		peer.reported = false
 	}
 	for _, account := range limiter.accounts {
 		account.sinceReport = 0
@@ -130,7 +130,7 @@
 // endRound settles the accounts if the open round has ended.
 func (limiter *Limiter) endRound(now time.Time) {
 	for _, peer := range limiter.peers {
-		if !peer.heard && !limiter.silent(peer, now) {
+		if !peer.reported && !limiter.silent(peer, now) {
 			return
 		}
 	}
@@ -173,18 +173,18 @@
 // Status is what the admission of a customer's requests at this entry is based on, in
 // cost units.
 type Status struct {
-	Left    float64 // of the limit of the entries that report
-	Share   float64 // of what was left when the account was settled, for this entry
-	Unknown float64 // spent by this entry and perhaps not known to the others
-	Limit   float64 // of the whole fleet within the window
-	Silent  int     // entries that do not report
-	Entries int     // all entries
+	Left        float64 // of the limit of the entries that report
+	Share       float64 // of what was left when the account was settled, for this entry
+	Unconfirmed float64 // spent by this entry and perhaps not known to the others
+	Limit       float64 // of the whole fleet within the window
+	Silent      int     // entries that do not report
+	Entries     int     // all entries
 }
 
 // String returns the status as it stands in log lines.
 func (status Status) String() string {
 	return fmt.Sprintf("left %.0f of %.0f, share here %.0f of which %.0f are spent, %d of %d entries silent",
-		status.Left, status.Limit, status.Share, status.Unknown, status.Silent, status.Entries)
+		status.Left, status.Limit, status.Share, status.Unconfirmed, status.Silent, status.Entries)
 }
 
 // Status returns the status of a customer; zero for a customer that is not limited.
@@ -197,7 +197,7 @@
 	reachable, all := limiter.reachable(now)
 	return Status{
 		Left: account.limit*float64(reachable)/float64(all) - account.inWindow, Share: account.share,
-		Unknown: account.unknown, Limit: account.limit, Silent: all - reachable, Entries: all,
+		Unconfirmed: account.unconfirmed, Limit: account.limit, Silent: all - reachable, Entries: all,
 	}
 }
 
@@ -238,7 +238,7 @@
 		if len(limiter.peers) == 0 {
 			limiter.adopt(left, now)
 		}
-		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: spent, heard: true}
+		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: spent, reported: true}
 		return
 	}
 	// The time of the spending is unknown; on average it is the middle of the interval.
@@ -247,7 +247,7 @@
 	if incarnation != existing.incarnation {
 		before = nil
 	}
-	existing.incarnation, existing.lastReport, existing.spent, existing.heard = incarnation, now, spent, true
+	existing.incarnation, existing.lastReport, existing.spent, existing.reported = incarnation, now, spent, true
 	reachable, all := limiter.reachable(now)
 	for customer, total := range spent {
 		account := limiter.accounts[customer]
--- a/kernel/ratelimit/load_test.go
+++ b/kernel/ratelimit/load_test.go
@@ -13,21 +13,21 @@
 
 // The load of one customer, whose requests are large against its rate.
 const (
-	loadRate      = 26000.0 // cost units per second
-	loadBurst     = 94000.0 // cost units
-	loadLimit     = loadRate*8 + loadBurst
-	meanLoadCost  = 5000.0  // cost units of a request
-	largestCost   = 30000.0 // cost units of a request
-	loadDuration  = 60 * time.Second
-	loadStep      = time.Millisecond
-	reportLatency = 2 * time.Millisecond
-	refusalTarget = 0.001 // of the requests within the limit
-	loadTolerance = 0.1   // tolerated fraction above the limit
-	loadSlack     = 72000 // cost units tolerated above the limit
-	longestWait   = 300 * time.Millisecond
-	askInterval   = 20 * time.Millisecond
-	everyEntry    = -1
-	loadSeeds     = 10
+	loadRate        = 26000.0 // cost units per second
+	loadBurst       = 94000.0 // cost units
+	loadLimit       = loadRate*8 + loadBurst
+	meanLoadCost    = 5000.0  // cost units of a request
+	largestCost     = 30000.0 // cost units of a request
+	loadDuration    = 60 * time.Second
+	loadStep        = time.Millisecond
+	reportLatency   = 2 * time.Millisecond
+	refusalTarget   = 0.001 // of the requests within the limit
+	loadTolerance   = 0.1   // tolerated fraction above the limit
+	loadSlack       = 72000 // cost units tolerated above the limit
+	longestWait     = 300 * time.Millisecond
+	requestInterval = 20 * time.Millisecond
+	everyEntry      = -1
+	loadSeeds       = 10
 )
 
 // message is a report on its way to one entry or to every other one. A message without
@@ -56,21 +56,21 @@
 
 // loadedFleet is a fleet of entries, and the requests of one customer that arrive at them.
 type loadedFleet struct {
-	now      time.Time
-	random   *rand.Rand
-	period   time.Duration
-	entries  []*Limiter
-	asked    []time.Time // when each entry last asked for reports
-	messages []message   // in the order of their arrival
-	waiting  []waitingRequest
-	offered  []spending
-	admitted []spending
-	result   loadResult
+	now         time.Time
+	random      *rand.Rand
+	period      time.Duration
+	entries     []*Limiter
+	requestedAt []time.Time // when each entry last requested reports
+	messages    []message   // in the order of their arrival
+	waiting     []waitingRequest
+	offered     []spending
+	admitted    []spending
+	result      loadResult
 }
 
 func newLoadedFleet(entries int, seed uint64) *loadedFleet {
 	fleet := &loadedFleet{
-		now: start, random: rand.New(rand.NewPCG(seed, uint64(entries))), asked: make([]time.Time, entries),
+		now: start, random: rand.New(rand.NewPCG(seed, uint64(entries))), requestedAt: make([]time.Time, entries),
 		period: period * time.Duration(1+(entries-1)/8),
 	}
 	customer := []*directory.Customer{directory.NewCustomer(directory.CustomerSpec{Name: "c", Rate: loadRate, Burst: loadBurst, ByTokens: true})}
@@ -123,12 +123,12 @@
 	}
 }
 
-// askReports reports to all other entries and asks for their reports.
-func (loadedFleet *loadedFleet) askReports(entry int) {
-	if loadedFleet.now.Sub(loadedFleet.asked[entry]) <= askInterval {
+// requestReports reports to all other entries and asks for their reports.
+func (loadedFleet *loadedFleet) requestReports(entry int) {
+	if loadedFleet.now.Sub(loadedFleet.requestedAt[entry]) <= requestInterval {
 		return
 	}
-	loadedFleet.asked[entry] = loadedFleet.now
+	loadedFleet.requestedAt[entry] = loadedFleet.now
 	loadedFleet.report(entry)
 	for other := range loadedFleet.entries {
 		if other != entry {
@@ -143,7 +143,7 @@
 	_, wait, ok := loadedFleet.entries[request.entry].Take("c", request.cost, loadedFleet.now)
 	if !ok && wait == 0 {
 		wait = 2 * reportLatency
-		loadedFleet.askReports(request.entry)
+		loadedFleet.requestReports(request.entry)
 	}
 	switch {
 	case ok:
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -39,7 +39,7 @@
 	ListAge          time.Duration // time since ListVersion was last confirmed to be the newest
 	Entries          []string      // addresses of some entries that sent a message recently
 	ModelMissing     bool          // requests wait for a model that is resident on no target
-	AsksReport       bool          // the receiver is to send its state to the sender without delay
+	ReportRequested  bool          // the receiver is to send its state to the sender without delay
 	InventoryVersion uint64        // sent to an agent: the last TargetState.InventoryVersion received from it
 }
 
@@ -235,7 +235,7 @@
 	writer.strings(13, entryState.Entries)
 	writer.bool(14, entryState.ModelMissing)
 	writer.varint(15, entryState.InventoryVersion)
-	writer.bool(16, entryState.AsksReport)
+	writer.bool(16, entryState.ReportRequested)
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -274,7 +274,7 @@
 	case 15:
 		entryState.InventoryVersion = value.varint
 	case 16:
-		entryState.AsksReport = value.bool()
+		entryState.ReportRequested = value.bool()
 	}
 }
 
