Request reports less often in large fleets, and send less with them

Change: the interval between two requests grows by 20 ms for each four other entries, and requests and replies carry no levels: 24 entries make 9,000 messages of some 400 bytes, 1.3 Mbit/s an entry. Levels are taken over from the first message that has them.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -18,14 +18,15 @@
 )
 
 const (
-	stateInterval         = 200 * time.Millisecond // between two messages of an entry to each instance, with fewer than peersPerInterval other entries
-	membersInterval       = 5                      // rounds of messages, of which one lists other entries
-	maxMembers            = 8                      // entries listed in a message
-	memberMaxAge          = 3 * time.Second        // entries silent for longer are not listed
-	peersPerInterval      = 8                      // each such number of other entries lengthens the time between messages by stateInterval
-	peerTimeout           = 30 * time.Second       // entries silent for longer are removed
-	reportRequestInterval = 20 * time.Millisecond  // between two requests for the state of all entries
-	agentPortOffset       = 1                      // agents listen on the port after that of entries
+	stateInterval             = 200 * time.Millisecond // between two messages of an entry to each instance, with fewer than peersPerInterval other entries
+	membersInterval           = 5                      // rounds of messages, of which one lists other entries
+	maxMembers                = 8                      // entries listed in a message
+	memberMaxAge              = 3 * time.Second        // entries silent for longer are not listed
+	peersPerInterval          = 8                      // each such number of other entries lengthens the time between messages by stateInterval
+	peerTimeout               = 30 * time.Second       // entries silent for longer are removed
+	reportRequestInterval     = 20 * time.Millisecond  // between two requests for the reports of all entries, with fewer than entriesPerRequestInterval others
+	entriesPerRequestInterval = 4                      // each such number of other entries lengthens the time between two requests by reportRequestInterval
+	agentPortOffset           = 1                      // agents listen on the port after that of entries
 )
 
 // peers exchanges datagrams with other entries and with agents. Sending of
@@ -184,12 +185,14 @@
 	return state
 }
 
-// requestReports sends this instance's state to all entries and asks for theirs, at most once
-// per reportRequestInterval.
+// requestReports sends this instance's spending to all entries and asks for theirs. The
+// interval between two requests grows with the number of entries, so that the requests
+// and replies of a large fleet do not fill the links of small machines.
 func (peers *peers) requestReports() {
 	now := peers.gateway.clock.Now()
 	peers.mu.Lock()
-	early := now.Sub(peers.reportsRequestedAt) < reportRequestInterval
+	interval := reportRequestInterval * time.Duration(1+len(peers.entries)/entriesPerRequestInterval)
+	early := now.Sub(peers.reportsRequestedAt) < interval
 	if !early {
 		peers.reportsRequestedAt = now
 	}
@@ -198,7 +201,7 @@
 		return
 	}
 	state := peers.newState(true, now)
-	state.ReportRequested = true
+	state.ReportRequested, state.RateLeft = true, nil
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if peers.socket == nil || peers.left {
@@ -209,9 +212,10 @@
 	}
 }
 
-// reply sends this instance's state to an entry that has asked for it.
+// reply sends this instance's spending to an entry that has asked for it.
 func (peers *peers) reply(to netip.AddrPort) {
 	state := peers.newState(false, peers.gateway.clock.Now())
+	state.RateLeft = nil // only for entries that have just started
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if peers.socket != nil && !peers.left {
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -54,6 +54,7 @@
 	accounts map[string]*account
 	peers    map[string]*peer
 
+	adopted   bool      // what is left was taken over from a peer
 	roundOpen bool      // not all peers have reported since this entry's report that opened the round
 	countedAt time.Time // when reporting was counted
 	counted   int       // entries at that time
@@ -231,13 +232,14 @@
 // ApplyReport applies a peer's report: its spending by customer since it started, and
 // what it says the fleet may still spend. The first report of a peer charges nothing; a
 // later one charges the spending since the previous report, or since the peer's restart.
-// A report that arrives while no peer is known raises what is left to the peer's values.
+// The first report that says what is left raises that of this entry to the peer's values.
 func (limiter *Limiter) ApplyReport(name string, incarnation uint64, spent, left map[string]float64, now time.Time) {
+	if !limiter.adopted && len(left) > 0 {
+		limiter.adopt(left, now)
+		limiter.adopted = true
+	}
 	existing := limiter.peers[name]
 	if existing == nil {
-		if len(limiter.peers) == 0 {
-			limiter.adopt(left, now)
-		}
 		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: spent, reported: true}
 		return
 	}
