--- a/entry/gateway/peers_test.go
+++ b/entry/gateway/peers_test.go
@@ -93,3 +93,25 @@
 	lastMessage := fake.Now().Add(-10 * time.Second)
 	assert.Assert(t, !gateway.peers.stoppedEntries()(silent, lastMessage), "the lists are older than the entry's last message")
 }
+
+// The messages of requests for reports must not fill the links of a large fleet, however
+// many customers are at their limit.
+func TestRequestsForReportsAreBoundedInLargeFleets(t *testing.T) {
+	for entries, want := range map[int]int64{3: 50 * 3, 23: 9 * 23} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			fake := clock.NewFake(time.Unix(1000, 0))
+			gateway := newIdleGateway(t, fake)
+			socket, err := datagram.Listen(context.Background(), "127.0.0.1:0", gateway.metrics.Add)
+			assert.NilError(t, err)
+			gateway.peers.socket = socket
+			for index := range entries {
+				gateway.peers.addEntry(fmt.Sprintf("127.0.0.1:%d", 2+index))
+			}
+			for range 1000 {
+				gateway.peers.requestReports()
+				fake.Advance(time.Millisecond)
+			}
+			assert.Equal(t, gateway.metrics.Get("datagrams.sent"), want, "in one second")
+		})
+	}
+}
