Log and count each decision about a retry

Each decision now logs the service, the number of sends and the state of the budget, and counts retries.granted, .denied, .unsent.

No decision changed.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -251,7 +251,6 @@
 			call.sends++
 		}
 		if call.mayRetry(result) {
-			gateway.metrics.Add("retries", 1)
 			continue
 		}
 		if fallback != nil {
@@ -278,13 +277,26 @@
 	case call.ctx.Err() != nil:
 		return false
 	case result.unsent:
+		call.gateway.metrics.Add("retries.unsent", 1)
 		return len(call.tried) < maxUnreachable
 	case result.ran != code.RanNo && !call.route.Repeatable():
 		return false
 	case call.sends >= call.route.Attempts():
 		return false
 	}
-	return call.gateway.retries.Take()
+	return call.takeRetry()
+}
+
+// takeRetry takes a retry from the budget, and logs and counts the decision.
+func (call *call) takeRetry() bool {
+	gateway := call.gateway
+	granted, outcome := gateway.retries.Take(), "denied"
+	if granted {
+		outcome = "granted"
+	}
+	gateway.metrics.Add("retries."+outcome, 1)
+	gateway.log.Infof("retry of request %q to service %q %s after %d sends, %v", call.head.ID, call.service, outcome, call.sends, gateway.retries)
+	return granted
 }
 
 // maxUnreachable is the number of tried targets at which a call is given up if the
--- a/kernel/retry/budget.go
+++ b/kernel/retry/budget.go
@@ -4,7 +4,10 @@
 // a retry and where to send it.
 package retry
 
-import "sync"
+import (
+	"fmt"
+	"sync"
+)
 
 const (
 	retriesPerRequest = 0.1   // retries that each request adds to the budget
@@ -46,3 +49,10 @@
 	budget.available--
 	return true
 }
+
+// String returns the state of the budget as it stands in log lines.
+func (budget *Budget) String() string {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	return fmt.Sprintf("%.1f retries left", budget.available)
+}
