--- a/entry/entry/entry_test.go
+++ b/entry/entry/entry_test.go
@@ -86,3 +86,18 @@
 	assert.Equal(t, completion.fault.Code(), code.CallerGone)
 	assert.Equal(t, completion.timing.missCause(completion.fault), "")
 }
+
+func TestPlainServiceGetsNoRetriesSavedUpByEngines(t *testing.T) {
+	const allowance = 10
+	entry := newIdleEntry(t)
+	for range 1000 {
+		entry.retryBudget.RecordRequest()
+	}
+	granted := 0
+	for range 100 {
+		if entry.mayRetry(code.New(code.NoReplica, code.RanNo, "refused"), 1, entry.Clock().Now().Add(time.Minute)) {
+			granted++
+		}
+	}
+	assert.Assert(t, granted <= allowance, "%d retries without a request of the service", granted)
+}
