Limit the retries of each service by the window that users count

Cause: an entry had one budget for all services, which saved up a tenth of a retry for each request of any of them, up to 100, however long ago. A calm, and requests of one service that are refused without being sent, earned retries that another service took at once. Each start brought two more (ten in the product's own entry), so that the starts of many entries alone passed the allowance of the whole fleet. Class of fault: a limit on a sliding window of the fleet, kept by a local store of credit with another key, another memory and a fixed gift for each process.

Evidence: the log of each decision about a retry: 280 retries granted and 280 arrivals beyond the first, none denied, 146 saved up by four entries before the trouble.

Fix: the budget counts requests and retries of each service within the users' window and forgets what is older. Retries since any moment may be half the ratio of an entry's own requests since one window before it; these were sent in the window of the retries or in the one before it, of which one has at least half. Since each entry counts its own requests, the sum over entries keeps the bound with any number of them, restarts and partitions. The allowance is kept at one entry, the holder of the planning lease; after another entry held the lease it stays closed for a window. An entry that has earned no retry asks two others, then the holder, so that none is given up while the fleet has one. Limits come from the platform's settings, and from new settings in the product's own entry.

--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -138,21 +138,3 @@
 func noReplica(group string) *code.Fault {
 	return code.New(code.NoReplica, code.RanNo, "no target serves %s now", group).WithRetryAfter(unavailableRetryAfter)
 }
-
-// mayRetry reports whether an idempotent request may be sent to another target, and
-// if so takes a retry out of the budget.
-func (entry *Entry) mayRetry(err *code.Fault, attempts int, deadline time.Time) bool {
-	switch err.Code() {
-	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone:
-		return false
-	}
-	if attempts >= entry.limits.attempts || !entry.Clock().Now().Before(deadline) {
-		return false
-	}
-	if !entry.retryBudget.Take() {
-		entry.Metrics().Add("retries.denied", 1)
-		return false
-	}
-	entry.Metrics().Add("retries", 1)
-	return true
-}
--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -57,7 +57,7 @@
 		completion.recordDecision()
 		return err
 	}
-	entry.retryBudget.RecordRequest()
+	entry.retryBudget.RecordRequest(engineService, entry.Clock().Now())
 	go watchCaller(completion.ctx, ctx.Conn(), completion.cancel)
 	if completion.prompt.stream {
 		return completion.serveStream(ctx)
@@ -176,7 +176,7 @@
 		if fault := completion.abortFault(); fault != nil {
 			return nil, fault
 		}
-		if !completion.entry.mayRetry(err, completion.attempts, completion.call.deadline) {
+		if !completion.entry.mayRetry(completion.ctx, engineService, err, completion.attempts, completion.call.deadline) {
 			return nil, err
 		}
 		if completion.generatedTokens > 0 {
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -89,7 +89,7 @@
 		Instance:    base,
 		log:         base.Log("entry"),
 		policy:      policy,
-		retryBudget: retry.NewBudget(),
+		retryBudget: retry.NewBudget(retryLimits(values)),
 		decisions:   newDecisionLog(),
 		members:     member.NewTable(),
 		replicas:    map[string]*route.Replica{},
@@ -183,6 +183,7 @@
 		wire.CallBorrow:        rpc.Unary(entry.handleBorrow),
 		wire.CallShares:        rpc.Unary(entry.handleShares),
 		wire.CallMissingModels: rpc.Unary(entry.handleMissingModels),
+		wire.CallRetry:         rpc.Unary(entry.handleRetry),
 	}
 }
 
--- a/entry/entry/entry_test.go
+++ b/entry/entry/entry_test.go
@@ -91,11 +91,11 @@
 	const allowance = 10
 	entry := newIdleEntry(t)
 	for range 1000 {
-		entry.retryBudget.RecordRequest()
+		entry.retryBudget.RecordRequest(engineService, entry.Clock().Now())
 	}
 	granted := 0
 	for range 100 {
-		if entry.mayRetry(code.New(code.NoReplica, code.RanNo, "refused"), 1, entry.Clock().Now().Add(time.Minute)) {
+		if entry.mayRetry(context.Background(), serviceGroup("plain"), code.New(code.NoReplica, code.RanNo, "refused"), 1, entry.Clock().Now().Add(time.Minute)) {
 			granted++
 		}
 	}
--- a/entry/entry/plainservice.go
+++ b/entry/entry/plainservice.go
@@ -61,7 +61,7 @@
 			return call.adjustRanForEarlierAttempts(err, route)
 		}
 	}
-	entry.retryBudget.RecordRequest()
+	entry.retryBudget.RecordRequest(serviceGroup(route.Service()), entry.Clock().Now())
 	var err *code.Fault
 	if route.Idempotent() {
 		go watchCaller(requestCtx, ctx.Conn(), cancel)
@@ -103,7 +103,7 @@
 		if requestCtx.Err() != nil {
 			return code.New(code.DeadlinePassed, code.RanUnknown, "the deadline passed or the caller went away")
 		}
-		if !entry.mayRetry(err, attempts, call.deadline) {
+		if !entry.mayRetry(requestCtx, group, err, attempts, call.deadline) {
 			return err
 		}
 	}
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -12,6 +12,7 @@
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/placement"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
 
@@ -24,6 +25,7 @@
 	policy         placement.Policy
 	mu             sync.Mutex
 	lease          *lease.Lease         // guarded by mu
+	reserve        *retry.Reserve       // of retries, for all entries
 	requestedAt    map[string]time.Time // last request that found no target, by model; guarded by mu
 	forecast       *placement.Forecast
 	roundDemand    map[string]float64 // in request slots, by model
@@ -54,7 +56,7 @@
 	}
 	return &planner{
 		entry: entry, log: entry.Log("placement"), policy: policy, requestedAt: map[string]time.Time{},
-		forecast: placement.NewForecast(), agents: map[string]*agentState{},
+		forecast: placement.NewForecast(), agents: map[string]*agentState{}, reserve: retry.NewReserve(retryLimits(entry.Values())),
 	}, nil
 }
 
@@ -120,13 +122,15 @@
 }
 
 // holdsLease reports whether this entry is the planner. When it has acquired the
-// lease anew, it discards its plan, so that the next round reads the stored one.
+// lease anew, it discards its plan, so that the next round reads the stored one, and opens
+// the reserve of retries.
 func (planner *planner) holdsLease() bool {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	fence, held := planner.lease.Held(planner.entry.Clock().Now())
 	if held && fence != planner.fence {
 		planner.fence, planner.plan = fence, nil
+		planner.reserve.Open(fence, planner.entry.Clock().Now())
 		planner.log.Infof("acquired the planner's lease with fence %d", fence)
 	}
 	return held
--- a/entry/entry/settings.go
+++ b/entry/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endiverill.example/kernel/plugin"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/route"
 	"endiverill.example/kernel/setting"
 )
@@ -19,6 +20,9 @@
 	table.Declare("placement.lease", 5*time.Second, setting.DurationBetween(200*time.Millisecond, time.Hour), "", "Life of the planner's lease when it is not renewed.")
 	table.Declare("entry.routing", "affinity", setting.OneOf(func() []string { return plugin.Names(plugin.Routing) }), "", "Policy that picks a replica.")
 	table.Declare("entry.attempts", 3, setting.IntBetween(1, route.MaxTried), "", "Targets that a request may be sent to in all.")
+	table.Declare("entry.retry_percent", 10, setting.IntBetween(0, 100), "%", "Retries for each request for a service, within entry.retry_window.")
+	table.Declare("entry.retry_window", 10*time.Second, setting.DurationBetween(5*time.Second, time.Hour), "", "Sliding window over which retries and requests are counted.")
+	table.Declare("entry.retry_allowance", 10, setting.IntBetween(0, 100000), "", "Retries for a service that all entries of a site together may take within the window beyond the percentage.")
 	table.Declare("entry.frame_timeout", 15*time.Second, setting.DurationBetween(50*time.Millisecond, time.Hour), "", "How long an agent may send nothing within an answer.")
 	table.Declare("entry.start_window", 5*time.Second, setting.DurationBetween(50*time.Millisecond, 10*time.Minute), "", "Latest start of a non-idempotent request after its dispatch, on the agent's clock.")
 	table.Declare("entry.status_period", 500*time.Millisecond, setting.DurationBetween(10*time.Millisecond, time.Minute), "", "Time between two questions to the same target about its load.")
@@ -26,6 +30,14 @@
 	return table
 }
 
+// retryLimits returns the limits on the retries for each service.
+func retryLimits(values *setting.Values) retry.Limits {
+	return retry.Limits{
+		Ratio: float64(values.Int("entry.retry_percent")) / 100, Window: values.Duration("entry.retry_window"),
+		Allowance: values.Int("entry.retry_allowance"),
+	}
+}
+
 func declareCallers(table *setting.Table) {
 	table.Declare("entry.listen", "127.0.0.1:8080", setting.Address, "", "Address on which callers are served.")
 	table.Declare("entry.peer_listen", "127.0.0.1:0", setting.Address, "", "Address on which agents and other entries are served.")
--- a/entry/gateway/commands.go
+++ b/entry/gateway/commands.go
@@ -18,28 +18,40 @@
 // arrives or ctx ends, and returns whether it was carried out and, if not, why.
 // The agent may receive it more than once, with the same ID.
 func (peers *peers) command(ctx context.Context, to netip.AddrPort, interval time.Duration, command *wire.Command) (done bool, reason string) {
-	command.ID = peers.lastCommand.Add(1) ^ peers.gateway.options.Incarnation // so that IDs of different entries and incarnations differ
+	command.ID = peers.nextCommand()
+	result := peers.request(ctx, to, interval, command.ID, command)
+	return result.Done, result.Reason
+}
+
+// nextCommand returns an ID that differs from those of other entries and incarnations.
+func (peers *peers) nextCommand() uint64 {
+	return peers.lastCommand.Add(1) ^ peers.gateway.options.Incarnation
+}
+
+// request sends a message, repeats it every interval until the result with the ID arrives
+// or ctx ends, and returns the result.
+func (peers *peers) request(ctx context.Context, to netip.AddrPort, interval time.Duration, id uint64, message wire.Message) *wire.CommandResult {
 	results := make(chan *wire.CommandResult, 1)
 	peers.mu.Lock()
 	socket := peers.socket
-	peers.results[command.ID] = results
+	peers.results[id] = results
 	peers.mu.Unlock()
 	defer func() {
 		peers.mu.Lock()
 		defer peers.mu.Unlock()
-		delete(peers.results, command.ID)
+		delete(peers.results, id)
 	}()
 	if socket == nil {
-		return false, "the socket for peers is not open yet"
+		return &wire.CommandResult{Reason: "the socket for peers is not open yet"}
 	}
 	for {
-		peers.send(to, command)
+		peers.send(to, message)
 		select {
-		case commandResult := <-results:
-			return commandResult.Done, commandResult.Reason
+		case result := <-results:
+			return result
 		case <-peers.gateway.clock.After(interval):
 		case <-ctx.Done():
-			return false, "no result arrived in time"
+			return &wire.CommandResult{Reason: "no result arrived in time"}
 		}
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -35,7 +35,6 @@
 	exitReserve          = 400 * time.Millisecond  // of the grace period, for the exit of the process
 	maxPlainDuration     = time.Second             // longest expected request other than a stream, by the specification of the deployments
 	stopPollInterval     = 50 * time.Millisecond
-	initialRetries       = 2.0                    // per entry; the platform tolerates 88 retries from two dozen entries that start together
 	newConnGrace         = 300 * time.Millisecond // while stopping, a new connection may stay without a request for that long
 )
 
@@ -61,6 +60,7 @@
 	DrainBound    time.Duration // within which a draining target must stop getting new requests
 	ConfigBound   time.Duration // within which a new configuration must be in force
 	LoadWindow    time.Duration // over which model loads from the weight store are counted
+	Retries       retry.Limits  // of all entries, for each service
 }
 
 // Gateway is one entry of a deployment.
@@ -85,11 +85,11 @@
 	peers         *peers
 	planner       *planRunner
 	snapshots     *snapshots
+	retries       *retry.Budget
 	mu            sync.Mutex // guards the fields below
 	dispatcher    *dispatch.Dispatcher
 	attempts      map[uint64]*attempt // attempts that have not ended
 	limiter       *ratelimit.Limiter
-	retries       *retry.Budget
 }
 
 // New returns a gateway that does not serve until Run.
@@ -105,7 +105,7 @@
 		dispatcher:  dispatch.NewDispatcher(options.DataCentre),
 		attempts:    map[uint64]*attempt{},
 		limiter:     ratelimit.New(options.RateWindow, stateInterval),
-		retries:     retry.NewBudgetWithInitial(initialRetries),
+		retries:     retry.NewBudget(options.Retries),
 	}
 	gateway.draining, gateway.startDraining = context.WithCancel(context.Background())
 	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
--- a/entry/gateway/peers_test.go
+++ b/entry/gateway/peers_test.go
@@ -15,13 +15,14 @@
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/metric"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
 
 // newIdleGateway returns a gateway that does not run.
 func newIdleGateway(t *testing.T, now clock.Clock) *Gateway {
 	t.Helper()
-	return New(Options{Name: "e", IP: "127.0.0.1", PeerPort: 1, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, Clock: now, Logs: logs.Discard(), Metrics: metric.New(t.Name())})
+	return New(Options{Name: "e", IP: "127.0.0.1", PeerPort: 1, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, Clock: now, Logs: logs.Discard(), Metrics: metric.New(t.Name()), Retries: retry.Limits{Ratio: 0.2, Window: 10 * time.Second}})
 }
 
 func listen4(t *testing.T) *datagram.Socket {
--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -7,6 +7,7 @@
 
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/residency"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
 
@@ -23,7 +24,8 @@
 
 // planRunner competes for the lease by which one entry at a time decides which
 // models the targets hold. While it holds the lease, it runs the planner of
-// package residency and sends the resulting commands to agents.
+// package residency and sends the resulting commands to agents, and holds the reserve of
+// retries.
 type planRunner struct {
 	gateway   *Gateway
 	driver    lease.Driver  // reads and writes the lease in the store
@@ -31,8 +33,9 @@
 	mu        sync.Mutex    // guards the fields below
 	lease     *lease.Lease
 	planner   *residency.Planner
-	acquired  time.Time // when this entry acquired the lease
-	heldFence uint64    // fencing number of the lease, 0 while it is not held
+	reserve   *retry.Reserve // of retries, for all entries
+	acquired  time.Time      // when this entry acquired the lease
+	heldFence uint64         // fencing number of the lease, 0 while it is not held
 }
 
 func newPlanRunner(gateway *Gateway) *planRunner {
@@ -45,6 +48,7 @@
 			Holder: gateway.options.Name, Duration: leaseDuration, Drift: leaseDrift,
 		}),
 		planner: residency.New(gateway.options.LoadWindow),
+		reserve: retry.NewReserve(gateway.options.Retries),
 	}
 	planRunner.driver = lease.Driver{
 		Store: gateway.options.Store, Key: gateway.options.LeaseKey, Timeout: leaseTimeout,
@@ -121,6 +125,7 @@
 	switch {
 	case held && fence != planRunner.heldFence:
 		planRunner.heldFence, planRunner.acquired = fence, now
+		planRunner.reserve.Open(fence, now)
 		planRunner.gateway.log.Infof("plans for the fleet with fence %d", fence)
 	case !held && planRunner.heldFence != 0:
 		planRunner.gateway.log.Infof("no longer plans for the fleet, fence %d", planRunner.heldFence)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -32,7 +32,7 @@
 	}
 	if fault == nil {
 		gateway.peers.addDemand(&call.placement)
-		gateway.retries.RecordRequest()
+		gateway.retries.RecordRequest(call.service, gateway.clock.Now())
 		var relay *relay
 		relay, fault = gateway.forward(call)
 		if fault == nil {
@@ -270,8 +270,8 @@
 }
 
 // mayRetry reports whether the call may be sent to another target. A call that
-// may have run is repeated only where the route allows it. A retry takes from the
-// instance's retry budget unless nothing was sent to the last target.
+// may have run is repeated only where the route allows it. A retry needs takeRetry, unless
+// nothing was sent to the last target.
 func (call *call) mayRetry(result attemptResult) bool {
 	switch {
 	case call.ctx.Err() != nil:
@@ -287,18 +287,6 @@
 	return call.takeRetry()
 }
 
-// takeRetry takes a retry from the budget, and logs and counts the decision.
-func (call *call) takeRetry() bool {
-	gateway := call.gateway
-	granted, outcome := gateway.retries.Take(), "denied"
-	if granted {
-		outcome = "granted"
-	}
-	gateway.metrics.Add("retries."+outcome, 1)
-	gateway.log.Infof("retry of request %q to service %q %s after %d sends, %v", call.head.ID, call.service, outcome, call.sends, gateway.retries)
-	return granted
-}
-
 // maxUnreachable is the number of tried targets at which a call is given up if the
 // last attempt sent nothing.
 const maxUnreachable = 3
--- a/entry/gateway/syncer_test.go
+++ b/entry/gateway/syncer_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -62,22 +61,3 @@
 	syncer.applyTargets(nil, []*directory.Target{plainTarget("old", "10.0.0.2:80")}, 0, 1, fake.Now())
 	assert.DeepEqual(t, syncer.addresses(), map[string]bool{"10.0.0.1:80": true})
 }
-
-// Retries of all calls draw on one budget, however many attempts a route allows.
-func TestRetryNeedsBudgetAndAttempts(t *testing.T) {
-	gateway := newIdleGateway(t, clock.System{})
-	newCall := func(sends int) *call {
-		route := directory.NewRoute(directory.RouteSpec{Kind: directory.Idempotent, Attempts: 3})
-		return &call{gateway: gateway, route: route, sends: sends, ctx: context.Background()}
-	}
-	assert.Assert(t, !newCall(3).mayRetry(attemptResult{}), "the route allows three attempts")
-	for range int(initialRetries) {
-		assert.Assert(t, newCall(1).mayRetry(attemptResult{}))
-	}
-	assert.Assert(t, !newCall(1).mayRetry(attemptResult{}), "the budget is used up")
-	for range 11 {
-		gateway.retries.RecordRequest()
-	}
-	assert.Assert(t, newCall(2).mayRetry(attemptResult{}), "eleven requests allow one retry")
-	assert.Assert(t, !newCall(2).mayRetry(attemptResult{}))
-}
--- a/kernel/retry/budget.go
+++ b/kernel/retry/budget.go
@@ -1,58 +1,99 @@
-// Package retry bounds the traffic that retries may add to that of first
-// attempts. It decides whether a retry is allowed, from the numbers of requests
-// and retries so far. Packages entry and gateway decide whether a request needs
-// a retry and where to send it.
 package retry
 
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
-const (
-	retriesPerRequest = 0.1   // retries that each request adds to the budget
-	initialRetries    = 10.0  // retries available at the start
-	maxAvailable      = 100.0 // retries that a budget can hold
-)
+const slicesPerWindow = 40 // time slices in which requests and retries are counted
 
-// Budget limits retries to a tenth of the requests, plus the retries that it
-// starts with. Retries that are not taken stay available, up to maxAvailable. Each
-// entry keeps its own Budget, so the limit also holds for the whole fleet. It is
-// safe for concurrent use.
+// Budget limits the retries that one entry takes or grants without the Reserve. It counts
+// requests and retries of each service separately and remembers nothing older than the
+// windows that it compares. It is safe for concurrent use.
+//
+// Retries may be up to half the ratio of the requests since one window before the first of
+// them. Whatever window they arrive in, those requests were sent within it or the window
+// before it, of which one has at least half of them. Each entry counts its own requests
+// only, so the sums over all entries keep the same bound.
 type Budget struct {
-	mu        sync.Mutex
-	available float64 // retries
+	limits   Limits
+	slice    time.Duration
+	mu       sync.Mutex
+	accounts map[string]*account // by service
 }
 
-// NewBudget returns a budget that starts with ten retries.
-func NewBudget() *Budget { return NewBudgetWithInitial(initialRetries) }
-
-// NewBudgetWithInitial returns a budget that starts with the given number of
-// retries. The initial retries of all entries add up when they restart together,
-// so a large fleet needs a low number.
-func NewBudgetWithInitial(retries float64) *Budget { return &Budget{available: retries} }
+// NewBudget returns a budget that has earned no retries.
+func NewBudget(limits Limits) *Budget {
+	return &Budget{limits: limits, slice: max(limits.Window/slicesPerWindow, 1), accounts: map[string]*account{}}
+}
 
-// RecordRequest records a request, which adds a tenth of a retry to the budget.
-func (budget *Budget) RecordRequest() {
+// RecordRequest records a caller's request for a service.
+func (budget *Budget) RecordRequest(service string, now time.Time) {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	budget.available = min(budget.available+retriesPerRequest, maxAvailable)
+	budget.account(service, now).requests.add()
 }
 
-// Take takes one retry out of the budget and reports whether there was one.
-func (budget *Budget) Take() bool {
+// Take takes a retry of a request for a service and reports whether one was earned.
+func (budget *Budget) Take(service string, now time.Time) bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	if budget.available < 1 {
-		return false
+	account := budget.account(service, now)
+	before := int64((budget.limits.Window-maxReadDelay-maxTransit)/budget.slice) - 1
+	last := account.retries.newest
+	for first := last; first > last-budget.windowSlices(); first-- {
+		retries := 1 + account.retries.between(first, last)
+		requests := account.requests.between(first-before, last)
+		if float64(retries) > budget.limits.Ratio/2*float64(requests) {
+			return false
+		}
 	}
-	budget.available--
+	account.retries.add()
 	return true
 }
 
-// String returns the state of the budget as it stands in log lines.
-func (budget *Budget) String() string {
+// windowSlices returns the number of slices that hold the decisions on retries which
+// arrive within one window.
+func (budget *Budget) windowSlices() int64 {
+	return int64((budget.limits.Window+maxTransit)/budget.slice) + 2
+}
+
+// Status returns how many retries and requests of a service this entry has counted within
+// the window, as it stands in log lines.
+func (budget *Budget) Status(service string, now time.Time) string {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	return fmt.Sprintf("%.1f retries left", budget.available)
+	account := budget.account(service, now)
+	last := account.retries.newest
+	first := last - slicesPerWindow + 1
+	return fmt.Sprintf("%d earned retries of %d requests within %v",
+		account.retries.between(first, last), account.requests.between(first, last), budget.limits.Window)
+}
+
+// account returns the account of a service and moves it to the slice that contains now.
+// When it adds one, it drops those that have been unused for as long as they count.
+func (budget *Budget) account(service string, now time.Time) *account {
+	current := now.UnixNano() / int64(budget.slice)
+	if existing := budget.accounts[service]; existing != nil {
+		existing.requests.advance(current)
+		existing.retries.advance(current)
+		return existing
+	}
+	kept := budget.windowSlices() + slicesPerWindow
+	for name, existing := range budget.accounts {
+		if current-existing.requests.newest > kept {
+			delete(budget.accounts, name)
+		}
+	}
+	added := &account{requests: newCounter(kept, current), retries: newCounter(kept, current)}
+	budget.accounts[service] = added
+	return added
+}
+
+// account holds the counts of one service.
+type account struct {
+	requests *counter
+	retries  *counter               // that were earned
+	askAfter [sourceCount]time.Time // the source is not asked earlier
 }
--- a/kernel/retry/promise_test.go
+++ b/kernel/retry/promise_test.go
@@ -1,13 +1,16 @@
 package retry
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/proptest"
 )
 
@@ -21,6 +24,7 @@
 	windowTicks   = int(ruleWindow / tick)
 	maxReadTicks  = int(time.Second / tick)            // callers give up a request that is not read for longer
 	transitTicks  = int(500 * time.Millisecond / tick) // longest way of a retry to its target
+	leaseTicks    = int(3 * time.Second / tick)        // life of a lease that is not renewed
 	maxRetries    = 2                                  // of one request
 	maxStepTicks  = windowTicks
 	warmUpSeconds = 25 // without requests, so that what is unknown at the start has left the window
@@ -77,27 +81,36 @@
 	at      int // tick
 }
 
-// simulatedEntry is one entry of the fleet; it loses its budget when it restarts.
+// simulatedEntry is one entry of the fleet; a restart replaces it.
 type simulatedEntry struct {
+	fleet       *fleet
 	budget      *Budget
+	reserve     *Reserve
 	unread      []sentRequest
-	frozenUntil int // tick
+	frozenUntil int    // tick
+	cutUntil    int    // tick until which it reaches neither the store nor other entries
+	fence       uint64 // of the lease that it acquired last
+	renewed     int    // tick
 }
 
 type fleet struct {
+	clock.Clock
 	t         *rapid.T
 	random    *rand.Rand
 	now       int // tick
 	entries   []*simulatedEntry
 	services  []history
-	troubled  []bool // services whose targets refuse every request
+	failing   []float64 // share of the attempts that fail, by service
+	denied    int       // requests given up for want of a retry
 	allowance float64
+	holder    *simulatedEntry // of the lease, as the store records it
+	fence     uint64
 }
 
-func newFleet(t *rapid.T, entries int) *fleet {
+func newFleet(t *rapid.T, entries int, seed uint64) *fleet {
 	fleet := &fleet{
-		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
-		services: make([]history, len(services)), troubled: make([]bool, len(services)), allowance: ruleAllowance(entries),
+		t: t, random: rand.New(rand.NewPCG(seed, 0)),
+		services: make([]history, len(services)), failing: make([]float64, len(services)), allowance: ruleAllowance(entries),
 	}
 	for range entries {
 		fleet.entries = append(fleet.entries, fleet.newEntry())
@@ -106,9 +119,62 @@
 	return fleet
 }
 
-func (fleet *fleet) newEntry() *simulatedEntry { return &simulatedEntry{budget: NewBudgetWithInitial(2)} }
+func (fleet *fleet) newEntry() *simulatedEntry {
+	limits := Limits{Ratio: ruleRatio, Window: ruleWindow, Allowance: int(fleet.allowance)}
+	return &simulatedEntry{fleet: fleet, budget: NewBudget(limits), reserve: NewReserve(limits)}
+}
+
+// holds reports whether the entry still holds the lease by its own clock.
+func (fleet *fleet) holds(entry *simulatedEntry) bool {
+	return entry != nil && entry.fence != 0 && fleet.now-entry.renewed < leaseTicks
+}
+
+// renewLease lets the holder renew the lease or, once it has expired, another entry
+// acquire it.
+func (fleet *fleet) renewLease() {
+	reachesStore := func(entry *simulatedEntry) bool { return fleet.now >= entry.frozenUntil && fleet.now >= entry.cutUntil }
+	if fleet.holds(fleet.holder) {
+		if reachesStore(fleet.holder) {
+			fleet.holder.renewed = fleet.now
+		}
+		return
+	}
+	if entry := fleet.entries[fleet.random.IntN(len(fleet.entries))]; reachesStore(entry) {
+		fleet.fence++
+		fleet.holder, entry.fence, entry.renewed = entry, fleet.fence, fleet.now
+		entry.reserve.Open(entry.fence, fleet.Now())
+	}
+}
+
+// Borrow asks other entries on behalf of this one.
+func (simulatedEntry *simulatedEntry) Borrow(_ context.Context, service string) bool {
+	fleet := simulatedEntry.fleet
+	for range MaxLenders {
+		other := fleet.entries[fleet.random.IntN(len(fleet.entries))]
+		if fleet.reaches(simulatedEntry, other) && other.budget.Take(service, fleet.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeReserved asks the holder of the lease on behalf of this entry.
+func (simulatedEntry *simulatedEntry) TakeReserved(_ context.Context, service string) (bool, time.Duration) {
+	fleet := simulatedEntry.fleet
+	holder := fleet.holder
+	if !fleet.holds(holder) || !fleet.reaches(simulatedEntry, holder) {
+		return false, 0
+	}
+	return holder.reserve.Take(service, holder.fence, fleet.Now())
+}
+
+// reaches reports whether one entry gets an answer from another one.
+func (fleet *fleet) reaches(entry, other *simulatedEntry) bool {
+	return entry == other || fleet.now >= max(other.frozenUntil, other.cutUntil, entry.cutUntil)
+}
 
-func (fleet *fleet) clock() time.Time { return start.Add(time.Duration(fleet.now) * tick) }
+// Now returns the simulated time.
+func (fleet *fleet) Now() time.Time { return start.Add(time.Duration(fleet.now) * tick) }
 
 // run lets time pass in which callers send requests at the given rates per tick, by service.
 func (fleet *fleet) run(ticks int, rates []float64) {
@@ -125,6 +191,7 @@
 				entry.unread = append(entry.unread, sentRequest{service, fleet.now})
 			}
 		}
+		fleet.renewLease()
 		for _, entry := range fleet.entries {
 			fleet.serve(entry)
 		}
@@ -144,8 +211,7 @@
 	return count
 }
 
-// serve lets an entry read its requests and retry those of troubled services as often as
-// it may.
+// serve lets an entry read its requests and retry those that fail as often as it may.
 func (fleet *fleet) serve(entry *simulatedEntry) {
 	if fleet.now < entry.frozenUntil {
 		return
@@ -154,14 +220,17 @@
 		if fleet.now-request.at > maxReadTicks {
 			continue
 		}
-		entry.budget.RecordRequest()
-		if !fleet.troubled[request.service] {
-			continue
-		}
+		service := services[request.service]
+		entry.budget.RecordRequest(service, fleet.Now())
 		for range maxRetries {
-			if entry.budget.Take() {
-				fleet.services[request.service].retries[fleet.now+fleet.random.IntN(transitTicks)]++
+			if fleet.random.Float64() >= fleet.failing[request.service] {
+				break
+			}
+			if entry.budget.Acquire(context.Background(), service, entry, fleet) == Denied {
+				fleet.denied++
+				break
 			}
+			fleet.services[request.service].retries[fleet.now+fleet.random.IntN(transitTicks)]++
 		}
 	}
 	entry.unread = entry.unread[:0]
@@ -184,6 +253,9 @@
 	switch rapid.IntRange(0, 9).Draw(t, "step") {
 	case 0:
 		for _, entry := range fleet.some() {
+			if fleet.holder == entry {
+				fleet.holder = nil // a restarted entry has the same name and acquires the lease without waiting
+			}
 			*entry = *fleet.newEntry()
 		}
 	case 1:
@@ -195,9 +267,14 @@
 		for _, entry := range fleet.some() {
 			entry.frozenUntil = until
 		}
-	case 3, 4, 5:
+	case 3:
+		until := fleet.now + rapid.IntRange(1, 150).Draw(t, "cut")
+		for _, entry := range fleet.some() {
+			entry.cutUntil = until
+		}
+	case 4, 5:
 		service := rapid.IntRange(0, len(services)-1).Draw(t, "service")
-		fleet.troubled[service] = !fleet.troubled[service]
+		fleet.failing[service] = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "failing")
 	default:
 		rates := []float64{}
 		for range services {
@@ -210,10 +287,24 @@
 func TestPromiseFleetKeepsRetriesOfServiceWithinItsBudget(t *testing.T) {
 	for _, entries := range []int{4, 29, 330} {
 		t.Run(fmt.Sprint(entries), rapid.MakeCheck(func(t *rapid.T) {
-			fleet := newFleet(t, entries)
+			fleet := newFleet(t, entries, rapid.Uint64().Draw(t, "seed"))
 			for range rapid.IntRange(5, 30).Draw(t, "steps") {
 				fleet.step()
 			}
 		}))
 	}
 }
+
+// A tenth of the requests fails once, half of what the ratio allows, and a service that is
+// seldom asked for fails half of its attempts.
+func TestFailuresBelowTheRatioAreRetried(t *testing.T) {
+	for _, entries := range []int{4, 29, 330} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			fleet := newFleet(nil, entries, 1)
+			fleet.run(2*windowTicks, []float64{100, 0.05})
+			fleet.failing = []float64{0.1, 0.5}
+			fleet.run(6*windowTicks, []float64{100, 0.05})
+			assert.Equal(t, fleet.denied, 0)
+		})
+	}
+}
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -122,11 +122,12 @@
 	ValidFor time.Duration // validity, counted from arrival; the agent drops the command after it
 }
 
-// CommandResult is the answer to the Command with the same ID.
+// CommandResult is the answer to the Command or the RetryRequest with the same ID.
 type CommandResult struct {
-	ID     uint64
-	Done   bool
-	Reason string // why the command was refused or failed
+	ID         uint64
+	Done       bool
+	Reason     string        // why the command was refused or failed
+	RetryAfter time.Duration // of a refused RetryRequest: time within which another is refused too
 }
 
 // The first byte of a datagram is its message kind.
@@ -136,6 +137,7 @@
 	datagramCommand
 	datagramResult
 	datagramPrompt
+	datagramRetry
 )
 
 // EncodeDatagram encodes a message as one datagram. It fails when the message has no
@@ -153,6 +155,8 @@
 		kind = datagramResult
 	case *SentPrompt:
 		kind = datagramPrompt
+	case *RetryRequest:
+		kind = datagramRetry
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -182,8 +186,10 @@
 		message = &CommandResult{}
 	case datagramPrompt:
 		message = &SentPrompt{}
+	case datagramRetry:
+		message = &RetryRequest{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to 5", data[0])
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramRetry)
 	}
 	return message, parse(data[1:], message)
 }
@@ -448,6 +454,7 @@
 	writer.varint(1, commandResult.ID)
 	writer.bool(2, commandResult.Done)
 	writer.string(3, commandResult.Reason)
+	writer.duration(4, commandResult.RetryAfter)
 }
 
 func (commandResult *CommandResult) setField(number protowire.Number, value fieldValue) {
@@ -458,5 +465,7 @@
 		commandResult.Done = value.bool()
 	case 3:
 		commandResult.Reason = value.string()
+	case 4:
+		commandResult.RetryAfter = value.duration()
 	}
 }
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -18,6 +18,7 @@
 	CallShares        = "/peer/shares"  // Empty in both directions; says that the table of quota shares has changed
 	CallAssign        = "/agent/assign" // AssignRequest, answered by Empty
 	CallMissingModels = "/peer/wanted"  // MissingModelsRequest, answered by Empty
+	CallRetry         = "/peer/retry"   // RetryRequest, answered by CommandResult
 )
 
 // Header is one HTTP header that is forwarded to a target or returned to a caller.
