Take refunds out of the window together with their charges

What callers saw: customers above their rate were let in beyond it (QUOTA), at the cost of the others, seconds after many of their requests had waited and been refused.

Cause: a refund was booked at its own time. When the charge left the sliding window, the refund stayed for as long as the request had waited, as a credit.

Fix: a charge knows its time, and the refund is taken out of the slice that holds it. For the other entries, reports carry the total of refunds and their mean age. Two new fields, which entries of an earlier release skip.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -14,6 +14,7 @@
 	"endiverill.example/kernel/datagram"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/ratelimit"
 	"endiverill.example/kernel/wire"
 )
 
@@ -180,11 +181,28 @@
 	if toAll {
 		gateway.limiter.MarkReported(now)
 	}
-	state.Spent = listNamedValues(gateway.limiter.Spent())
-	state.RateLeft = listNamedValues(gateway.limiter.Left(now))
+	setReport(state, gateway.limiter.Report(now))
 	return state
 }
 
+func setReport(state *wire.EntryState, report ratelimit.Report) {
+	state.Spent, state.RateLeft = listNamedValues(report.Spent), listNamedValues(report.Left)
+	for customer, refunds := range report.Refunds {
+		state.Refunds = append(state.Refunds, wire.NamedValue{Name: customer, Value: refunds.Cost})
+		state.RefundAges = append(state.RefundAges, wire.NamedValue{Name: customer, Value: refunds.Age})
+	}
+}
+
+// reportOf returns the report in another entry's message.
+func reportOf(state *wire.EntryState) ratelimit.Report {
+	report := ratelimit.Report{Spent: valuesByName(state.Spent), Refunds: map[string]ratelimit.Refunds{}, Left: valuesByName(state.RateLeft)}
+	ages := valuesByName(state.RefundAges)
+	for _, refund := range state.Refunds {
+		report.Refunds[refund.Name] = ratelimit.Refunds{Cost: refund.Value, Age: ages[refund.Name]}
+	}
+	return report
+}
+
 // requestReports sends this instance's spending to all entries and asks for theirs. The
 // interval between two requests grows with the number of entries, so that the requests
 // and replies of a large fleet do not fill the links of small machines.
@@ -259,7 +277,7 @@
 // their own state to this entry. The message state is modified. The caller must
 // hold mu.
 func (peers *peers) subscribe(state *wire.EntryState) {
-	state.Spent, state.RateLeft, state.Demand, state.Entries = nil, nil, nil, nil
+	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries = nil, nil, nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -37,7 +37,7 @@
 	now := gateway.clock.Now()
 	name := from.String()
 	gateway.mu.Lock()
-	gateway.limiter.ApplyReport(name, state.Incarnation, valuesByName(state.Spent), valuesByName(state.RateLeft), now)
+	gateway.limiter.ApplyReport(name, state.Incarnation, reportOf(state), now)
 	if state.Leaving {
 		gateway.limiter.RemovePeer(name)
 	}
--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -12,7 +12,8 @@
 	limit       float64 // of the fleet within the window
 	level       float64 // of the bucket that the rate fills up to the burst, at least 0
 	filledAt    time.Time
-	spent       float64 // by this entry since it started
+	spent       float64 // by this entry since it started, less refunds
+	refunds     Refunds // by this entry since it started
 	unconfirmed float64 // by this entry, and perhaps not known to the others
 	settledAt   time.Time
 	sinceReport float64 // part of unconfirmed since the report of the open round
@@ -82,12 +83,28 @@
 	account.level = min(max(account.level-cost, 0), account.burst)
 }
 
-// spend records spending of this entry; a negative cost is a refund.
-func (account *account) spend(cost float64, now time.Time) {
-	account.record(cost, now, now)
+// spend records that this entry charges a cost or, if it is negative, refunds what it
+// charged at an earlier time.
+func (account *account) spend(cost float64, at, now time.Time) {
+	account.record(cost, at, now)
 	account.spent += cost
 	account.unconfirmed += cost
 	account.sinceReport += cost
+	if cost < 0 {
+		account.refunds.Cost -= cost
+		account.refunds.Age -= cost * now.Sub(at).Seconds()
+	}
+}
+
+// applyReport records what another entry has spent and refunded since its previous report.
+// The times are unknown; on average, spending happened in the middle of the interval
+// between the reports, and what was refunded there had been charged before by the mean age.
+func (account *account) applyReport(spent float64, refunds Refunds, middle, now time.Time) {
+	if refunds.Cost > 0 {
+		age := time.Duration(refunds.Age / refunds.Cost * float64(time.Second))
+		account.record(-refunds.Cost, middle.Add(-age), now)
+	}
+	account.record(spent+refunds.Cost, middle, now)
 }
 
 // fill replaces the spending in the window by an amount that is spread evenly over it.
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -31,6 +31,7 @@
 type Charge struct {
 	customer string
 	cost     float64 // cost units
+	at       time.Time
 	excess   bool
 }
 
@@ -44,7 +45,22 @@
 	lastReport  time.Time
 	reported    bool               // has reported since the round was opened
 	stoppedAt   time.Time          // since when the peer is known to have stopped, zero if it is not
-	spent       map[string]float64 // spending by customer since the peer started
+	spent       map[string]float64 // spending by customer since the peer started, less refunds
+	refunds     map[string]Refunds // by customer since the peer started
+}
+
+// Refunds is what an entry has refunded to a customer. A charge that is refunded must leave
+// the window no later than its refund.
+type Refunds struct {
+	Cost float64 // cost units
+	Age  float64 // sum of cost times seconds from charge to refund
+}
+
+// Report is what an entry reports to the others, by customer.
+type Report struct {
+	Spent   map[string]float64 // cost units since the entry started, less refunds
+	Refunds map[string]Refunds // since the entry started
+	Left    map[string]float64 // cost units that the fleet may still spend; may be empty
 }
 
 // Limiter limits the spending of all customers at one entry.
@@ -167,8 +183,8 @@
 	}
 	account.fillBucket(now)
 	excess := account.level < min(cost, account.burst)
-	account.spend(cost, now)
-	return Charge{customer: customer, cost: cost, excess: excess}, 0, true
+	account.spend(cost, now, now)
+	return Charge{customer: customer, cost: cost, at: now, excess: excess}, 0, true
 }
 
 // Status is what the admission of a customer's requests at this entry is based on, in
@@ -205,58 +221,55 @@
 // Refund refunds the charge of a request that did not run.
 func (limiter *Limiter) Refund(charge Charge, now time.Time) {
 	if account := limiter.accounts[charge.customer]; account != nil {
-		account.spend(-charge.cost, now)
-	}
-}
-
-// Spent returns the spending of this entry since it started, by customer.
-func (limiter *Limiter) Spent() map[string]float64 {
-	spent := make(map[string]float64, len(limiter.accounts))
-	for name, account := range limiter.accounts {
-		spent[name] = account.spent
+		account.spend(-charge.cost, charge.at, now)
 	}
-	return spent
 }
 
-// Left returns by customer what the fleet may still spend, which initialises the
-// accounts of entries that have just started.
-func (limiter *Limiter) Left(now time.Time) map[string]float64 {
-	left := make(map[string]float64, len(limiter.accounts))
+// Report returns the report of this entry. Left initialises the accounts of entries that
+// have just started.
+func (limiter *Limiter) Report(now time.Time) Report {
+	report := Report{Spent: map[string]float64{}, Refunds: map[string]Refunds{}, Left: map[string]float64{}}
 	for name, account := range limiter.accounts {
 		account.advance(now)
-		left[name] = account.limit - account.inWindow
+		report.Spent[name] = account.spent
+		report.Left[name] = account.limit - account.inWindow
+		if account.refunds.Cost > 0 {
+			report.Refunds[name] = account.refunds
+		}
 	}
-	return left
+	return report
 }
 
-// ApplyReport applies a peer's report: its spending by customer since it started, and
-// what it says the fleet may still spend. The first report of a peer charges nothing; a
-// later one charges the spending since the previous report, or since the peer's restart.
-// The first report that says what is left raises that of this entry to the peer's values.
-func (limiter *Limiter) ApplyReport(name string, incarnation uint64, spent, left map[string]float64, now time.Time) {
-	if !limiter.adopted && len(left) > 0 {
-		limiter.adopt(left, now)
+// ApplyReport applies a peer's report. The first one of a peer charges nothing; a later one
+// charges the spending since the previous report, or since the peer's restart. The first
+// report that says what is left raises that of this entry to the peer's values.
+func (limiter *Limiter) ApplyReport(name string, incarnation uint64, report Report, now time.Time) {
+	if !limiter.adopted && len(report.Left) > 0 {
+		limiter.adopt(report.Left, now)
 		limiter.adopted = true
 	}
 	existing := limiter.peers[name]
 	if existing == nil {
-		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: spent, reported: true}
+		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: report.Spent, refunds: report.Refunds, reported: true}
 		return
 	}
-	// The time of the spending is unknown; on average it is the middle of the interval.
-	spentAt := now.Add(-min(now.Sub(existing.lastReport), limiter.window) / 2)
-	before := existing.spent
+	middle := now.Add(-min(now.Sub(existing.lastReport), limiter.window) / 2)
+	before := *existing
 	if incarnation != existing.incarnation {
-		before = nil
+		before.spent, before.refunds = nil, nil
 	}
-	existing.incarnation, existing.lastReport, existing.spent, existing.reported = incarnation, now, spent, true
+	*existing = peer{incarnation: incarnation, lastReport: now, spent: report.Spent, refunds: report.Refunds, reported: true}
 	reachable, all := limiter.reachable(now)
-	for customer, total := range spent {
+	for customer, total := range report.Spent {
 		account := limiter.accounts[customer]
-		if account == nil || total == before[customer] {
+		if account == nil {
+			continue
+		}
+		refunds := report.Refunds[customer].since(before.refunds[customer])
+		if total == before.spent[customer] && refunds.Cost == 0 {
 			continue
 		}
-		account.record(total-before[customer], spentAt, now)
+		account.applyReport(total-before.spent[customer], refunds, middle, now)
 		account.reduceShare(reachable, all)
 	}
 	if limiter.roundOpen {
@@ -264,6 +277,15 @@
 	}
 }
 
+// since returns the refunds after an earlier total. A message of an earlier release, or one
+// that has overtaken another, may hold lower totals.
+func (refunds Refunds) since(earlier Refunds) Refunds {
+	if refunds.Cost <= earlier.Cost {
+		return Refunds{}
+	}
+	return Refunds{Cost: refunds.Cost - earlier.Cost, Age: max(refunds.Age-earlier.Age, 0)}
+}
+
 // adopt raises what is left to a peer's values.
 func (limiter *Limiter) adopt(left map[string]float64, now time.Time) {
 	for customer, value := range left {
--- a/kernel/ratelimit/load_test.go
+++ b/kernel/ratelimit/load_test.go
@@ -33,9 +33,9 @@
 // message is a report on its way to one entry or to every other one. A message without
 // contents asks its sender to report to the receiver.
 type message struct {
-	from, to    int
-	arrives     time.Time
-	spent, left map[string]float64
+	from, to int
+	arrives  time.Time
+	report   Report // empty in a request for one
 }
 
 // waitingRequest is a request that is charged again at a later time.
@@ -86,7 +86,7 @@
 func (loadedFleet *loadedFleet) send(from, to int, contents bool) {
 	sent := message{from: from, to: to, arrives: loadedFleet.now.Add(reportLatency)}
 	if contents {
-		sent.spent, sent.left = loadedFleet.entries[from].Spent(), loadedFleet.entries[from].Left(loadedFleet.now)
+		sent.report = loadedFleet.entries[from].Report(loadedFleet.now)
 	}
 	loadedFleet.messages = append(loadedFleet.messages, sent)
 }
@@ -95,13 +95,13 @@
 	for len(loadedFleet.messages) > 0 && !loadedFleet.messages[0].arrives.After(loadedFleet.now) {
 		arrived := loadedFleet.messages[0]
 		loadedFleet.messages = loadedFleet.messages[1:]
-		if arrived.spent == nil {
+		if arrived.report.Spent == nil {
 			loadedFleet.send(arrived.from, arrived.to, true)
 			continue
 		}
 		for to, limiter := range loadedFleet.entries {
 			if to == arrived.to || arrived.to == everyEntry && to != arrived.from {
-				limiter.ApplyReport(fmt.Sprint(arrived.from), 1, arrived.spent, arrived.left, loadedFleet.now)
+				limiter.ApplyReport(fmt.Sprint(arrived.from), 1, arrived.report, loadedFleet.now)
 			}
 		}
 	}
--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -39,7 +39,7 @@
 // fleet simulates several entries that report their spending to each other over
 // links that may be partitioned.
 type fleet struct {
-	t            *rapid.T
+	t            rapid.TB
 	now          time.Time
 	entries      []*Limiter
 	incarnations []uint64
@@ -61,7 +61,7 @@
 		sender.MarkReported(fleet.now)
 		for to, receiver := range fleet.entries {
 			if from != to && !fleet.partitioned[from] && !fleet.partitioned[to] && !fleet.stopped[to] {
-				receiver.ApplyReport(fmt.Sprint(from), fleet.incarnations[from], sender.Spent(), sender.Left(fleet.now), fleet.now)
+				receiver.ApplyReport(fmt.Sprint(from), fleet.incarnations[from], sender.Report(fleet.now), fleet.now)
 			}
 		}
 		sender.ExpirePeers(fleet.now, func(name string, _ time.Time) bool {
@@ -107,7 +107,7 @@
 
 // newFleet returns a fleet whose entries have exchanged reports for so long that what
 // they did not know at their start has left the window.
-func newFleet(t *rapid.T, count int) *fleet {
+func newFleet(t rapid.TB, count int) *fleet {
 	fleet := &fleet{t: t, now: start, partitioned: make([]bool, count), stopped: make([]bool, count)}
 	for index := range count {
 		fleet.entries = append(fleet.entries, newEntry(start))
@@ -227,7 +227,7 @@
 		assert.Assert(t, ok)
 		limiter.Refund(charge, now)
 	}
-	assert.Equal(t, limiter.Spent()["c"], 0.0)
+	assert.Equal(t, limiter.Report(now).Spent["c"], 0.0)
 }
 
 func TestCustomerWithoutRateIsNotLimited(t *testing.T) {
@@ -250,6 +250,56 @@
 	}
 }
 
+// Half of the requests wait for a second and are then refunded, as in a full queue.
+func TestRefundLeavesTheWindowWithItsCharge(t *testing.T) {
+	for _, entries := range []int{1, 4} {
+		fleet := newFleet(t, entries)
+		waiting := map[int][]Charge{} // by entry
+		for step := range int(3 * window / period) {
+			if step%int(time.Second/period) == 0 {
+				for index, charges := range waiting {
+					for _, charge := range charges {
+						fleet.entries[index].Refund(charge, fleet.now)
+					}
+				}
+				clear(waiting)
+			}
+			for index, entry := range fleet.entries {
+				for request := range 100 {
+					charge, _, ok := entry.Take("c", cost, fleet.now)
+					switch {
+					case ok && request%2 == 0:
+						waiting[index] = append(waiting[index], charge)
+					case ok:
+						fleet.admitted = append(fleet.admitted, spending{fleet.now, cost})
+					}
+				}
+			}
+			fleet.wait(period)
+			fleet.checkRateBound(0)
+		}
+	}
+}
+
+func TestRefundsOfAnotherEntryLeaveNoCredit(t *testing.T) {
+	fleet := newFleet(t, 2)
+	var charges []Charge
+	for range 40 {
+		charge, _, ok := fleet.entries[0].Take("c", cost, fleet.now)
+		assert.Assert(t, ok)
+		charges = append(charges, charge)
+	}
+	fleet.wait(time.Second)
+	for _, charge := range charges {
+		fleet.entries[0].Refund(charge, fleet.now)
+	}
+	for range int(2 * window / period) {
+		fleet.wait(period)
+		left := fleet.entries[1].Report(fleet.now).Left["c"]
+		assert.Assert(t, left <= rate*window.Seconds()+burst, "%v left", left)
+	}
+}
+
 // An entry that has reported its spending is given a new share of what is left, which the
 // others must leave to it although their own shares are older.
 func TestShareShrinksWhenAnotherEntryReportsSpending(t *testing.T) {
@@ -259,7 +309,7 @@
 	reported := float64(len(fleet.admitted)-1) * cost
 	reporter := fleet.entries[1]
 	reporter.MarkReported(fleet.now)
-	fleet.entries[0].ApplyReport("1", fleet.incarnations[1], reporter.Spent(), reporter.Left(fleet.now), fleet.now)
+	fleet.entries[0].ApplyReport("1", fleet.incarnations[1], reporter.Report(fleet.now), fleet.now)
 	before := len(fleet.admitted)
 	fleet.sendRequests(0, 200)
 	limit := rate*window.Seconds() + burst
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -29,7 +29,9 @@
 	Incarnation      uint64
 	Version          uint64 // version of the configuration in force
 	Leaving          bool
-	Spent            []NamedValue  // cost units spent since the entry started, by customer
+	Spent            []NamedValue  // cost units spent since the entry started, less refunds, by customer
+	Refunds          []NamedValue  // cost units refunded since the entry started, by customer
+	RefundAges       []NamedValue  // sum of the refunds, each times the seconds since its charge, by customer
 	RateLeft         []NamedValue  // cost units that the fleet may still spend within the window, by customer
 	Demand           []NamedValue  // tokens requested since the entry started, by model; used by the planner
 	UsedAdapters     []AdapterUse  // sent to an agent: the adapters used at its target since the last message
@@ -242,6 +244,8 @@
 	writer.bool(14, entryState.ModelMissing)
 	writer.varint(15, entryState.InventoryVersion)
 	writer.bool(16, entryState.ReportRequested)
+	writer.namedValues(17, entryState.Refunds)
+	writer.namedValues(18, entryState.RefundAges)
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -281,6 +285,10 @@
 		entryState.InventoryVersion = value.varint
 	case 16:
 		entryState.ReportRequested = value.bool()
+	case 17:
+		entryState.Refunds = appendNamedValue(entryState.Refunds, value.bytes)
+	case 18:
+		entryState.RefundAges = appendNamedValue(entryState.RefundAges, value.bytes)
 	}
 }
 
