Count spending reported after a silence from its report on

What callers saw: nothing yet; found by a test while the cause of the retries over budget was looked for in other limits. After a partition, customers could spend up to half of their window again within it (QUOTA), at the cost of others.

Cause: the spending of another entry between two reports counts from the middle of the interval. After a silence of seconds it may all have happened at the end, and then left the window up to half a window too early. Same class of fault: a limit on a sliding window kept by entries with another time than the events.

Fix: what an entry reports after it counted as silent counts from the report on. It may count too long by the length of the silence, never too short.

--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -97,14 +97,14 @@
 }
 
 // applyReport records what another entry has spent and refunded since its previous report.
-// The times are unknown; on average, spending happened in the middle of the interval
-// between the reports, and what was refunded there had been charged before by the mean age.
-func (account *account) applyReport(spent float64, refunds Refunds, middle, now time.Time) {
+// The spending counts from spentAt, since its times are unknown; what was refunded had been
+// charged before by the mean age.
+func (account *account) applyReport(spent float64, refunds Refunds, spentAt, now time.Time) {
 	if refunds.Cost > 0 {
 		age := time.Duration(refunds.Age / refunds.Cost * float64(time.Second))
-		account.record(-refunds.Cost, middle.Add(-age), now)
+		account.record(-refunds.Cost, spentAt.Add(-age), now)
 	}
-	account.record(spent+refunds.Cost, middle, now)
+	account.record(spent+refunds.Cost, spentAt, now)
 }
 
 // fill replaces the spending in the window by an amount that is spread evenly over it.
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -253,7 +253,10 @@
 		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: report.Spent, refunds: report.Refunds, reported: true}
 		return
 	}
-	middle := now.Add(-min(now.Sub(existing.lastReport), limiter.window) / 2)
+	spentAt := now.Add(-now.Sub(existing.lastReport) / 2)
+	if limiter.silent(existing, now) {
+		spentAt = now // it may have spent everything just before it was heard of again
+	}
 	before := *existing
 	if incarnation != existing.incarnation {
 		before.spent, before.refunds = nil, nil
@@ -269,7 +272,7 @@
 		if total == before.spent[customer] && refunds.Cost == 0 {
 			continue
 		}
-		account.applyReport(total-before.spent[customer], refunds, middle, now)
+		account.applyReport(total-before.spent[customer], refunds, spentAt, now)
 		account.reduceShare(reachable, all)
 	}
 	if limiter.roundOpen {
--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -281,6 +281,20 @@
 	}
 }
 
+// The others have no report of what a partitioned entry spends shortly before it rejoins.
+func TestSpendingBehindPartitionCountsForAWholeWindow(t *testing.T) {
+	fleet := newFleet(t, 2)
+	fleet.partitioned[1] = true
+	fleet.wait(window)
+	fleet.sendRequests(1, 200)
+	fleet.partitioned[1] = false
+	for range int(window/period) - 1 {
+		fleet.wait(period)
+		fleet.sendRequests(0, 200)
+		fleet.checkRateBound(0)
+	}
+}
+
 func TestRefundsOfAnotherEntryLeaveNoCredit(t *testing.T) {
 	fleet := newFleet(t, 2)
 	var charges []Charge
