Name the request in the log line of a retry of the product's own entry

Cause: the line named the service only, so that a retry could not be followed from a request's ID. mayRetry now takes the call, which has ID and deadline. No decision changed; go test ./entry passes.

--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -176,7 +176,7 @@
 		if fault := completion.abortFault(); fault != nil {
 			return nil, fault
 		}
-		if !completion.entry.mayRetry(completion.ctx, engineService, err, completion.attempts, completion.call.deadline) {
+		if !completion.entry.mayRetry(completion.ctx, completion.call, engineService, err, completion.attempts) {
 			return nil, err
 		}
 		if completion.generatedTokens > 0 {
--- a/entry/entry/entry_test.go
+++ b/entry/entry/entry_test.go
@@ -94,8 +94,9 @@
 		entry.retryBudget.RecordRequest(engineService, entry.Clock().Now())
 	}
 	granted := 0
+	call := &call{id: "1", deadline: entry.Clock().Now().Add(time.Minute)}
 	for range 100 {
-		if entry.mayRetry(context.Background(), serviceGroup("plain"), code.New(code.NoReplica, code.RanNo, "refused"), 1, entry.Clock().Now().Add(time.Minute)) {
+		if entry.mayRetry(context.Background(), call, serviceGroup("plain"), code.New(code.NoReplica, code.RanNo, "refused"), 1) {
 			granted++
 		}
 	}
--- a/entry/entry/nonidempotentcall.go
+++ b/entry/entry/nonidempotentcall.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nonIdempotentCall.coordinator.NoTarget(err)
 	}
-	if nonIdempotentCall.replica != nil && !nonIdempotentCall.entry.takeRetry(nonIdempotentCall.ctx, nonIdempotentCall.groupName) {
+	if nonIdempotentCall.replica != nil && !nonIdempotentCall.entry.takeRetry(nonIdempotentCall.ctx, nonIdempotentCall.call, nonIdempotentCall.groupName) {
 		return nonIdempotentCall.coordinator.NoTarget(code.New(code.NoReplica, code.RanNo, "the retry budget is used up"))
 	}
 	nonIdempotentCall.replica = replica
--- a/entry/entry/plainservice.go
+++ b/entry/entry/plainservice.go
@@ -103,7 +103,7 @@
 		if requestCtx.Err() != nil {
 			return code.New(code.DeadlinePassed, code.RanUnknown, "the deadline passed or the caller went away")
 		}
-		if !entry.mayRetry(requestCtx, group, err, attempts, call.deadline) {
+		if !entry.mayRetry(requestCtx, call, group, err, attempts) {
 			return err
 		}
 	}
--- a/entry/entry/retries.go
+++ b/entry/entry/retries.go
@@ -16,22 +16,22 @@
 
 // mayRetry reports whether an idempotent request for a service may be sent to another
 // target, and if so takes a retry.
-func (entry *Entry) mayRetry(ctx context.Context, service string, err *code.Fault, attempts int, deadline time.Time) bool {
+func (entry *Entry) mayRetry(ctx context.Context, call *call, service string, err *code.Fault, attempts int) bool {
 	switch err.Code() {
 	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone:
 		return false
 	}
-	if attempts >= entry.limits.attempts || !entry.Clock().Now().Before(deadline) {
+	if attempts >= entry.limits.attempts || !entry.Clock().Now().Before(call.deadline) {
 		return false
 	}
-	return entry.takeRetry(ctx, service)
+	return entry.takeRetry(ctx, call, service)
 }
 
-// takeRetry takes a retry of a request for a service, and logs and counts the decision.
-func (entry *Entry) takeRetry(ctx context.Context, service string) bool {
+// takeRetry takes a retry of a call to a service, and logs and counts the decision.
+func (entry *Entry) takeRetry(ctx context.Context, call *call, service string) bool {
 	outcome := entry.retryBudget.Acquire(ctx, service, entry, entry.Clock())
 	entry.Metrics().Add("retries."+string(outcome), 1)
-	entry.log.Infof("retry for %q %s, here %s", service, outcome, entry.retryBudget.Status(service, entry.Clock().Now()))
+	entry.log.Infof("retry of request %q to service %q %s, here %s", call.id, service, outcome, entry.retryBudget.Status(service, entry.Clock().Now()))
 	return outcome != retry.Denied
 }
 
