--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -145,6 +145,23 @@
 	})
 }
 
+// checkOneRequestEachWithinRate lets each entry get one request in every period.
+func checkOneRequestEachWithinRate(t *testing.T, entries int) {
+	fleet := newFleet(t, entries)
+	for range 2 * int(window/period) {
+		for index := range fleet.entries {
+			fleet.sendRequests(index, 1)
+		}
+		fleet.checkRateBound(absoluteSlack)
+		fleet.wait(period)
+	}
+}
+
+func TestFleetOf29EntriesStaysWithinRate(t *testing.T) { checkOneRequestEachWithinRate(t, 29) }
+
+// Each entry may admit one request without knowing what the others admit at that time.
+func TestFleetOf330EntriesStaysWithinRate(t *testing.T) { checkOneRequestEachWithinRate(t, 330) }
+
 // Each half of a fleet that is partitioned for longer than peerExpiry must not take the
 // other for stopped, or the two spend twice the rate.
 func TestLongPartitionDoesNotDoubleRate(t *testing.T) {
