Measure sliding windows by the steady clock

What callers saw: when the time of day is set forward, customers above their rate are let in beyond it at once (QUOTA), at the cost of the others.

Cause: the limiter of rates numbered its time slices by UnixNano, the time of day; a step forward by 3 s took 3 s of spending out of the window. The new counts of retries did the same, and the product's own entry kept the end of an ejection as a time of day.

Evidence: found in the read-through.

Fix: clock.Slices numbers slices by the difference from an epoch, which a step of the wall clock does not change; limiter and budget use it. Also, a late report again counts at most half a window back, which had lost for reports more than a window apart.

Tests: TestStepOfWallClockAdmitsNoMore and TestStepOfWallClockForgetsNoRequest fail without it (a request admitted beyond the limit; 0 retries instead of 10).

--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -89,7 +89,7 @@
 		Instance:    base,
 		log:         base.Log("entry"),
 		policy:      policy,
-		retryBudget: retry.NewBudget(retryLimits(values)),
+		retryBudget: retry.NewBudget(retryLimits(values), base.Clock().Now()),
 		decisions:   newDecisionLog(),
 		members:     member.NewTable(),
 		replicas:    map[string]*route.Replica{},
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -105,7 +105,7 @@
 		dispatcher:  dispatch.NewDispatcher(options.DataCentre),
 		attempts:    map[uint64]*attempt{},
 		limiter:     ratelimit.New(options.RateWindow, stateInterval),
-		retries:     retry.NewBudget(options.Retries),
+		retries:     retry.NewBudget(options.Retries, options.Clock.Now()),
 	}
 	gateway.draining, gateway.startDraining = context.WithCancel(context.Background())
 	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
--- a/entry/gateway/retries.go
+++ b/entry/gateway/retries.go
@@ -59,9 +59,10 @@
 	askedAt := peers.gateway.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, retry.GrantTTL)
 	defer cancel()
-	id := peers.nextCommand()
-	result := peers.request(ctx, lender, 2*retry.GrantTTL, id, &wire.RetryRequest{ID: id, Service: service}) // sent once, since each counts
-	late := peers.gateway.clock.Now().Sub(askedAt) > retry.GrantTTL                                          // this process may have been suspended
+	request := &wire.RetryRequest{ID: peers.nextCommand(), Service: service}
+	// The interval is longer than the context lives: a second message could take a second retry.
+	result := peers.request(ctx, lender, 2*retry.GrantTTL, request.ID, request)
+	late := peers.gateway.clock.Now().Sub(askedAt) > retry.GrantTTL // this process may have been suspended
 	return result.Done && !late, result.RetryAfter
 }
 
--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -1,6 +1,10 @@
 package ratelimit
 
-import "time"
+import (
+	"time"
+
+	"endiverill.example/kernel/clock"
+)
 
 const windowSlices = 32 // time slices of equal length into which the sliding window is divided
 
@@ -18,21 +22,22 @@
 	settledAt   time.Time
 	sinceReport float64 // part of unconfirmed since the report of the open round
 	share       float64 // of what was left when the account was settled, for this entry
-	sliceLength time.Duration
+	timeSlices  clock.Slices
 	slices      [windowSlices + 1]float64 // spending per time slice, as a ring; the window covers the oldest in part
-	newest      int64                     // number of the newest slice, counted from the Unix epoch
+	newest      int64                     // number of the newest slice
 	total       float64                   // sum of slices
 	inWindow    float64                   // total less the part of the oldest slice that has left the window
 }
 
 func newAccount(window time.Duration, now time.Time) *account {
-	return &account{sliceLength: window / windowSlices, filledAt: now}
+	// The epoch is so early that no slice within the window has a negative number.
+	return &account{timeSlices: clock.NewSlices(now.Add(-2*window), window/windowSlices), filledAt: now}
 }
 
 // setRate sets the rate per second and the burst.
 func (account *account) setRate(rate, burst float64) {
 	account.rate, account.burst = rate, burst
-	account.limit = rate*(account.sliceLength*windowSlices).Seconds() + burst
+	account.limit = rate*(account.timeSlices.Length()*windowSlices).Seconds() + burst
 }
 
 // fillBucket adds what the rate has yielded since the last call.
@@ -46,7 +51,7 @@
 // advance moves the window to the slice that contains now and clears the slices that
 // have expired.
 func (account *account) advance(now time.Time) {
-	current := now.UnixNano() / int64(account.sliceLength)
+	current := account.timeSlices.Number(now)
 	if current-account.newest > windowSlices {
 		account.slices, account.total, account.newest = [windowSlices + 1]float64{}, 0, current
 	}
@@ -65,14 +70,14 @@
 
 // refresh computes inWindow from total and the part of the oldest slice that has expired.
 func (account *account) refresh(now time.Time) {
-	expired := float64(now.UnixNano()%int64(account.sliceLength)) / float64(account.sliceLength) // part of the oldest slice
+	expired := float64(account.timeSlices.Elapsed(now)) / float64(account.timeSlices.Length()) // part of the oldest slice
 	account.inWindow = account.total - expired*account.slices[(account.newest+1)%(windowSlices+1)]
 }
 
 // record adds spending of the fleet that happened at an earlier time or now.
 func (account *account) record(cost float64, at, now time.Time) {
 	account.advance(now)
-	slice := at.UnixNano() / int64(account.sliceLength)
+	slice := account.timeSlices.Number(at)
 	if account.newest-slice > windowSlices {
 		return // has left the window
 	}
@@ -163,16 +168,16 @@
 // timeUntilFree returns how long it takes until spending of the given amount has left
 // the window.
 func (account *account) timeUntilFree(amount float64, now time.Time) time.Duration {
-	elapsed := time.Duration(now.UnixNano() % int64(account.sliceLength))
-	leaving := 1 - float64(elapsed)/float64(account.sliceLength) // part of the oldest slice that is still in the window
+	length := float64(account.timeSlices.Length())
+	leaving := 1 - float64(account.timeSlices.Elapsed(now))/length // part of the oldest slice that is still in the window
 	wait := time.Duration(0)
 	for offset := int64(1); offset <= windowSlices; offset++ {
 		left := leaving * account.slices[(account.newest+offset)%(windowSlices+1)]
 		if left >= amount {
-			return wait + time.Duration(leaving*amount/left*float64(account.sliceLength))
+			return wait + time.Duration(leaving*amount/left*length)
 		}
 		amount -= left
-		wait += time.Duration(leaving * float64(account.sliceLength))
+		wait += time.Duration(leaving * length)
 		leaving = 1
 	}
 	return wait
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -253,9 +253,9 @@
 		limiter.peers[name] = &peer{incarnation: incarnation, lastReport: now, spent: report.Spent, refunds: report.Refunds, reported: true}
 		return
 	}
-	spentAt := now.Add(-now.Sub(existing.lastReport) / 2)
+	spentAt := now.Add(-min(now.Sub(existing.lastReport), limiter.window) / 2) // on average
 	if limiter.silent(existing, now) {
-		spentAt = now // it may have spent everything just before it was heard of again
+		spentAt = now // all of it may have been spent just before the report
 	}
 	before := *existing
 	if incarnation != existing.incarnation {
--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/proptest"
 )
@@ -237,6 +238,17 @@
 	assert.Assert(t, !ok && wait > 0)
 }
 
+func TestStepOfWallClockAdmitsNoMore(t *testing.T) {
+	now := clock.System{}.Now()
+	limiter := newEntry(now)
+	now = now.Add(2 * window)
+	for admitted := true; admitted; {
+		_, _, admitted = limiter.Take("c", cost, now)
+	}
+	_, _, ok := limiter.Take("c", cost, proptest.StepWallClock(now, 2*window))
+	assert.Assert(t, !ok)
+}
+
 func TestRefundedChargeCanBeSpentAgain(t *testing.T) {
 	limiter, now := newEntry(start), start.Add(10*time.Second)
 	for range 500 {
--- a/kernel/retry/budget.go
+++ b/kernel/retry/budget.go
@@ -4,9 +4,14 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"endiverill.example/kernel/clock"
 )
 
-const slicesPerWindow = 40 // time slices in which requests and retries are counted
+const (
+	slicesPerWindow = 40 // time slices in which requests and retries are counted
+	historyWindows  = 3  // more windows than the counters cover, so that their slices have no negative numbers
+)
 
 // Budget limits the retries that one entry takes or grants without the Reserve. It counts
 // requests and retries of each service separately and remembers nothing older than the
@@ -18,14 +23,16 @@
 // only, so the sums over all entries keep the same bound.
 type Budget struct {
 	limits   Limits
-	slice    time.Duration
+	slices   clock.Slices
 	mu       sync.Mutex
 	accounts map[string]*account // by service
 }
 
 // NewBudget returns a budget that has earned no retries.
-func NewBudget(limits Limits) *Budget {
-	return &Budget{limits: limits, slice: max(limits.Window/slicesPerWindow, 1), accounts: map[string]*account{}}
+func NewBudget(limits Limits, now time.Time) *Budget {
+	budget := &Budget{limits: limits, accounts: map[string]*account{}}
+	budget.slices = clock.NewSlices(now.Add(-historyWindows*limits.Window-2*maxTransit), limits.Window/slicesPerWindow)
+	return budget
 }
 
 // RecordRequest records a caller's request for a service.
@@ -40,7 +47,7 @@
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	account := budget.account(service, now)
-	before := int64((budget.limits.Window-maxReadDelay-maxTransit)/budget.slice) - 1
+	before := int64((budget.limits.Window-maxReadDelay-maxTransit)/budget.slices.Length()) - 1
 	last := account.retries.newest
 	for first := last; first > last-budget.windowSlices(); first-- {
 		retries := 1 + account.retries.between(first, last)
@@ -56,7 +63,7 @@
 // windowSlices returns the number of slices that hold the decisions on retries which
 // arrive within one window.
 func (budget *Budget) windowSlices() int64 {
-	return int64((budget.limits.Window+maxTransit)/budget.slice) + 2
+	return int64((budget.limits.Window+maxTransit)/budget.slices.Length()) + 2
 }
 
 // Status returns how many retries and requests of a service this entry has counted within
@@ -74,7 +81,7 @@
 // account returns the account of a service and moves it to the slice that contains now.
 // When it adds one, it drops those that have been unused for as long as they count.
 func (budget *Budget) account(service string, now time.Time) *account {
-	current := now.UnixNano() / int64(budget.slice)
+	current := budget.slices.Number(now)
 	if existing := budget.accounts[service]; existing != nil {
 		existing.requests.advance(current)
 		existing.retries.advance(current)
--- a/kernel/retry/budget_test.go
+++ b/kernel/retry/budget_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/proptest"
 )
 
 var limits = Limits{Ratio: ruleRatio, Window: ruleWindow, Allowance: 2}
@@ -25,7 +28,7 @@
 }
 
 func TestServiceEarnsNoRetriesForAnother(t *testing.T) {
-	budget := NewBudget(limits)
+	budget := NewBudget(limits, start)
 	recordRequests(budget, "engines", 1000, start)
 	now := start.Add(time.Second)
 	assert.Assert(t, !budget.Take("plain", now))
@@ -33,7 +36,7 @@
 }
 
 func TestRetriesAreNotSavedUpBeyondWindows(t *testing.T) {
-	budget, now := NewBudget(limits), start
+	budget, now := NewBudget(limits, start), start
 	for range 10 {
 		recordRequests(budget, "s", 100, now)
 		now = now.Add(ruleWindow / 10)
@@ -43,14 +46,22 @@
 }
 
 func TestRequestReadLateEarnsNoRetryAfterItsWindow(t *testing.T) {
-	budget := NewBudget(limits)
+	budget := NewBudget(limits, start)
 	recordRequests(budget, "s", 100, start.Add(readDelay))
 	assert.Assert(t, !budget.Take("s", start.Add(ruleWindow+tick)))
 }
 
+func TestStepOfWallClockForgetsNoRequest(t *testing.T) {
+	now := clock.System{}.Now()
+	budget := NewBudget(limits, now)
+	recordRequests(budget, "s", 100, now)
+	now = proptest.StepWallClock(now, 2*ruleWindow)
+	assert.Equal(t, takeAll(func() bool { return budget.Take("s", now) }), 10)
+}
+
 // A retry may arrive up to transit after the decision, in a window with later ones.
 func TestRetryOnItsWayCountsWithLaterOnes(t *testing.T) {
-	budget, now := NewBudget(limits), start
+	budget, now := NewBudget(limits, start), start
 	for range 20 {
 		recordRequests(budget, "s", 10, now)
 		now = now.Add(ruleWindow / 10)
--- a/kernel/retry/promise_test.go
+++ b/kernel/retry/promise_test.go
@@ -123,7 +123,7 @@
 
 func (fleet *fleet) newEntry() *simulatedEntry {
 	limits := Limits{Ratio: ruleRatio, Window: ruleWindow, Allowance: int(fleet.allowance)}
-	return &simulatedEntry{fleet: fleet, budget: NewBudget(limits), reserve: NewReserve(limits)}
+	return &simulatedEntry{fleet: fleet, budget: NewBudget(limits, fleet.Now()), reserve: NewReserve(limits)}
 }
 
 // holds reports whether the entry still holds the lease by its own clock.
@@ -297,8 +297,7 @@
 	}
 }
 
-// A tenth of the requests fails once, half of what the ratio allows, and a service that is
-// seldom asked for fails half of its attempts.
+// The ratio allows twice the failures of the first service; the second is seldom asked for.
 func TestFailuresBelowTheRatioAreRetried(t *testing.T) {
 	for _, entries := range []int{4, 29, 330} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
--- a/kernel/route/replica.go
+++ b/kernel/route/replica.go
@@ -32,7 +32,7 @@
 	ownRequests   atomic.Int64 // requests of this entry in flight
 	otherRequests atomic.Int64 // requests of other entries, by the last report
 	failures      atomic.Int64 // consecutive
-	ejectedUntil  atomic.Int64 // Unix nanoseconds
+	ejectedUntil  atomic.Int64 // nanoseconds after knownSince
 }
 
 // NewReplica returns a replica that runs up to slots requests at once and became
@@ -93,12 +93,12 @@
 		return
 	}
 	ejection := minEjection << min(failures-failuresBeforeEjection, maxEjectionDoublings)
-	replica.ejectedUntil.Store(now.Add(min(ejection, maxEjection)).UnixNano())
+	replica.ejectedUntil.Store(int64(now.Add(min(ejection, maxEjection)).Sub(replica.knownSince)))
 }
 
 // Ejected reports whether the replica is ejected at now.
 func (replica *Replica) Ejected(now time.Time) bool {
-	return replica.ejectedUntil.Load() > now.UnixNano()
+	return replica.ejectedUntil.Load() > int64(now.Sub(replica.knownSince))
 }
 
 // Load returns the number of requests per slot that the replica would have with
