--- a/kernel/proptest/proptest.go
+++ b/kernel/proptest/proptest.go
@@ -1,6 +1,7 @@
 // Package proptest configures property-based tests with rapid. By default it sets a
 // fixed seed, so that a test gives the same result in every run. The properties are
-// left to the packages that are tested.
+// left to the packages that are tested. It also holds what the tests of several packages
+// share.
 package proptest
 
 import (
