Report how long ago an entry itself read a document

Cause that fits, not shown to be the one: entries reported the age of their copy without the time of the message, and receivers passed it on. Two entries confirmed each other's copies again and again, later each time by the delay of a message, so that none read the list when it was due.

Evidence: TestEntriesDoNotConfirmEachOthersCopies fails without the change: with delays of 80 ms neither entry is due to read the list after 2 s.

Fix: a message holds how long ago the sender itself read the documents. The leader sends its state right after each reading, so that others need not read the list themselves.

--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		if document != nil {
-			syncer.applyConfig(document, readStart)
+			syncer.applyConfig(document, readStart, (*directory.Freshness).RecordOwnRead)
 		} else if cursor != 0 && next != 0 {
 			// With cursor 0, no document means that there is no configuration. If next
 			// is 0, the source no longer has the history since cursor, and the next call
@@ -137,13 +137,17 @@
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
 	if current := syncer.gateway.current.Load(); current != nil {
-		syncer.configFreshness.RecordRead(current.Version(), syncer.gateway.clock.Now())
+		syncer.configFreshness.RecordOwnRead(current.Version(), syncer.gateway.clock.Now())
 	}
 }
 
+// recordFunc is RecordOwnRead for a document that this entry has read, RecordRead for one
+// from a peer.
+type recordFunc func(freshness *directory.Freshness, version uint64, at time.Time)
+
 // applyConfig puts a configuration in force if it is newer than the current
 // one. It was the newest at the given time.
-func (syncer *syncer) applyConfig(document []byte, at time.Time) {
+func (syncer *syncer) applyConfig(document []byte, at time.Time, record recordFunc) {
 	gateway := syncer.gateway
 	parsed, err := syncer.source.ParseConfiguration(document)
 	if err != nil {
@@ -153,7 +157,7 @@
 	}
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
-	syncer.configFreshness.RecordRead(parsed.Version(), at)
+	record(syncer.configFreshness, parsed.Version(), at)
 	if current := gateway.current.Load(); current != nil && parsed.Version() <= current.Version() {
 		return
 	}
@@ -192,7 +196,10 @@
 			syncer.mu.Unlock()
 			continue
 		}
-		syncer.applyTargets(document, listed, skipped, syncer.listVersion(listed, uint64(at)), readStart)
+		syncer.applyTargets(document, listed, skipped, syncer.listVersion(listed, uint64(at)), readStart, (*directory.Freshness).RecordOwnRead)
+		if syncer.leads() {
+			syncer.gateway.peers.sendSoon() // so that the others need not read the list themselves
+		}
 	}
 	return nil
 }
@@ -237,7 +244,7 @@
 
 // applyTargets puts a list in force that this entry or a peer has read, unless
 // it is older than the current one.
-func (syncer *syncer) applyTargets(document []byte, listed []*directory.Target, skipped int, version uint64, at time.Time) {
+func (syncer *syncer) applyTargets(document []byte, listed []*directory.Target, skipped int, version uint64, at time.Time, record recordFunc) {
 	gateway := syncer.gateway
 	gateway.metrics.SetGauge("targets.skipped", int64(skipped))
 	syncer.mu.Lock()
@@ -246,7 +253,7 @@
 		return // a newer one arrived first
 	}
 	changed := version != syncer.listFreshness.Version()
-	syncer.listFreshness.RecordRead(version, at)
+	record(syncer.listFreshness, version, at)
 	now := gateway.clock.Now()
 	syncer.listed, syncer.listDocument = listed, document
 	syncer.setTargets(syncer.targetTracker.Update(listed, now), now)
@@ -308,14 +315,14 @@
 	return snapshot
 }
 
-// fillState sets the versions and ages of this entry's documents in a message.
+// fillState sets the versions of this entry's documents in a message, and how long ago it
+// last read them itself.
 func (syncer *syncer) fillState(state *wire.EntryState) {
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
 	now := syncer.gateway.clock.Now()
 	state.Version, state.ListVersion = syncer.configFreshness.Version(), syncer.listFreshness.Version()
-	state.VersionAge, _ = syncer.configFreshness.Age(now)
-	state.ListAge, _ = syncer.listFreshness.Age(now)
+	state.VersionAge, state.ListAge = syncer.configFreshness.OwnReadAge(now), syncer.listFreshness.OwnReadAge(now)
 }
 
 // observePeer records the versions and ages of a peer's documents. It reports
@@ -334,7 +341,7 @@
 // as confirmed later than it was.
 func (syncer *syncer) applySnapshot(snapshot *wire.Snapshot, sent time.Time) {
 	if len(snapshot.Config) > 0 {
-		syncer.applyConfig(snapshot.Config, sent.Add(-snapshot.VersionAge))
+		syncer.applyConfig(snapshot.Config, sent.Add(-snapshot.VersionAge), (*directory.Freshness).RecordRead)
 	}
 	syncer.mu.Lock()
 	newer := snapshot.ListVersion > syncer.listFreshness.Version()
@@ -347,7 +354,7 @@
 		syncer.gateway.log.Warnf("invalid list of targets from a peer, the previous one stays in force: %v", err)
 		return
 	}
-	syncer.applyTargets(snapshot.Targets, listed, skipped, snapshot.ListVersion, sent.Add(-snapshot.ListAge))
+	syncer.applyTargets(snapshot.Targets, listed, skipped, snapshot.ListVersion, sent.Add(-snapshot.ListAge), (*directory.Freshness).RecordRead)
 }
 
 // addresses returns the addresses of the targets in force.
--- a/entry/gateway/syncer_test.go
+++ b/entry/gateway/syncer_test.go
@@ -9,6 +9,7 @@
 
 	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/wire"
 )
 
 func plainTarget(id, address string) *directory.Target {
@@ -23,11 +24,11 @@
 	gateway := newIdleGateway(t, fake)
 	syncer := gateway.syncer
 	both := []*directory.Target{plainTarget("a", "10.0.0.1:80"), plainTarget("b", "10.0.0.2:80")}
-	syncer.applyTargets(nil, both, 0, 1, fake.Now())
+	syncer.applyTargets(nil, both, 0, 1, fake.Now(), (*directory.Freshness).RecordOwnRead)
 	syncer.targetTracker.RecordFailure()
 	fake.Advance(targetExpiryInterval)
 	syncer.expireTargets()
-	syncer.applyTargets(nil, both[:1], 0, 2, fake.Now())
+	syncer.applyTargets(nil, both[:1], 0, 2, fake.Now(), (*directory.Freshness).RecordOwnRead)
 	assert.Equal(t, len(syncer.addresses()), 2)
 }
 
@@ -49,7 +50,7 @@
 		document string
 		want     uint64
 	}{{"5", 5}, {"4", 5}, {"5", 5}, {"7", 7}, {"no number", 7}, {"6", 7}} {
-		gateway.syncer.applyConfig([]byte(step.document), gateway.clock.Now())
+		gateway.syncer.applyConfig([]byte(step.document), gateway.clock.Now(), (*directory.Freshness).RecordOwnRead)
 		assert.Equal(t, gateway.current.Load().Version(), step.want, "after version %s", step.document)
 	}
 }
@@ -57,7 +58,32 @@
 func TestOlderListOfTargetsIsNotPutInForce(t *testing.T) {
 	fake := clock.NewFake(time.Unix(1000, 0))
 	syncer := newIdleGateway(t, fake).syncer
-	syncer.applyTargets(nil, []*directory.Target{plainTarget("new", "10.0.0.1:80")}, 0, 2, fake.Now())
-	syncer.applyTargets(nil, []*directory.Target{plainTarget("old", "10.0.0.2:80")}, 0, 1, fake.Now())
+	syncer.applyTargets(nil, []*directory.Target{plainTarget("new", "10.0.0.1:80")}, 0, 2, fake.Now(), (*directory.Freshness).RecordOwnRead)
+	syncer.applyTargets(nil, []*directory.Target{plainTarget("old", "10.0.0.2:80")}, 0, 1, fake.Now(), (*directory.Freshness).RecordOwnRead)
 	assert.DeepEqual(t, syncer.addresses(), map[string]bool{"10.0.0.1:80": true})
 }
+
+func TestEntriesDoNotConfirmEachOthersCopies(t *testing.T) {
+	const delay = 80 * time.Millisecond // of each message
+	fake := clock.NewFake(time.Unix(1000, 0))
+	var syncers []*syncer
+	for range 2 {
+		syncer := newIdleGateway(t, fake).syncer
+		syncer.applyTargets(nil, []*directory.Target{plainTarget("a", "10.0.0.1:80")}, 0, 1, fake.Now(), (*directory.Freshness).RecordOwnRead)
+		syncers = append(syncers, syncer)
+	}
+	for range int(2 * time.Second / stateInterval) { // DrainBound of newIdleGateway
+		states := []*wire.EntryState{{}, {}}
+		for index, syncer := range syncers {
+			syncer.fillState(states[index])
+		}
+		fake.Advance(delay)
+		for index, syncer := range syncers {
+			syncer.observePeer(states[1-index])
+		}
+		fake.Advance(stateInterval - delay)
+	}
+	for _, syncer := range syncers {
+		assert.Assert(t, syncer.due(syncer.listFreshness), "no entry has read the list for 2 s")
+	}
+}
--- a/kernel/directory/freshness.go
+++ b/kernel/directory/freshness.go
@@ -13,6 +13,7 @@
 	known          bool          // there is a copy
 	version        uint64        // version of the copy; rises with each change of the document
 	confirmed      time.Time     // when the copy was last known to be the newest version
+	ownReadAt      time.Time     // when this instance last read the document itself
 	failedAt       time.Time     // last reading that failed
 }
 
@@ -32,6 +33,22 @@
 	return max(now.Sub(freshness.confirmed), 0), freshness.known
 }
 
+// OwnReadAge returns how long ago this instance last read the document itself, which is the
+// age that it reports to others. Age would let two instances confirm each other's copies
+// again and again, later each time by the delay of a message.
+func (freshness *Freshness) OwnReadAge(now time.Time) time.Duration {
+	return max(now.Sub(freshness.ownReadAt), 0)
+}
+
+// RecordOwnRead records, besides RecordRead, that this instance itself read the document at
+// the time at.
+func (freshness *Freshness) RecordOwnRead(version uint64, at time.Time) {
+	freshness.RecordRead(version, at)
+	if at.After(freshness.ownReadAt) {
+		freshness.ownReadAt = at
+	}
+}
+
 // RecordRead records that a reading returned this version of the document, the
 // newest one at the time at.
 func (freshness *Freshness) RecordRead(version uint64, at time.Time) {
@@ -47,7 +64,7 @@
 // RecordFailure records a reading that failed.
 func (freshness *Freshness) RecordFailure(now time.Time) { freshness.failedAt = now }
 
-// ObserveCopy records the version and age of another instance's copy. It
+// ObserveCopy records the version and OwnReadAge of another instance's copy. It
 // reports whether that copy is newer than this instance's and should be fetched.
 func (freshness *Freshness) ObserveCopy(version uint64, age time.Duration, now time.Time) (newer bool) {
 	if version == 0 {
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -49,8 +49,8 @@
 	refunds     map[string]Refunds // by customer since the peer started
 }
 
-// Refunds is what an entry has refunded to a customer. A charge that is refunded must leave
-// the window no later than its refund.
+// Refunds is what an entry has refunded to a customer. A refund must leave the window
+// together with its charge, so the time between them is reported too.
 type Refunds struct {
 	Cost float64 // cost units
 	Age  float64 // sum of cost times seconds from charge to refund
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -36,9 +36,9 @@
 	Demand           []NamedValue  // tokens requested since the entry started, by model; used by the planner
 	UsedAdapters     []AdapterUse  // sent to an agent: the adapters used at its target since the last message
 	PlanFence        uint64        // fence of the planner that this entry runs, 0 when it runs none
-	VersionAge       time.Duration // time since Version was last confirmed to be the newest
+	VersionAge       time.Duration // time since the sender itself last read the configuration
 	ListVersion      uint64        // version of the list of targets, 0 without one
-	ListAge          time.Duration // time since ListVersion was last confirmed to be the newest
+	ListAge          time.Duration // time since the sender itself last read the list
 	Entries          []string      // addresses of some entries that sent a message recently
 	ModelMissing     bool          // requests wait for a model that is resident on no target
 	ReportRequested  bool          // the receiver is to send its state to the sender without delay
