Name what the requests of earned retries are counted over

Read-through: a reader could not tell what the number of slices before a retry stands for; it is a function with a reason now. No decision changed; go test ./retry passes.

--- a/kernel/retry/budget.go
+++ b/kernel/retry/budget.go
@@ -47,11 +47,10 @@
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	account := budget.account(service, now)
-	before := int64((budget.limits.Window-maxReadDelay-maxTransit)/budget.slices.Length()) - 1
 	last := account.retries.newest
 	for first := last; first > last-budget.windowSlices(); first-- {
 		retries := 1 + account.retries.between(first, last)
-		requests := account.requests.between(first-before, last)
+		requests := account.requests.between(first-budget.earningSlices(), last)
 		if float64(retries) > budget.limits.Ratio/2*float64(requests) {
 			return false
 		}
@@ -60,6 +59,12 @@
 	return true
 }
 
+// earningSlices returns the number of slices before that of a retry whose requests count
+// for it: all of them were sent within one window before the retry arrives.
+func (budget *Budget) earningSlices() int64 {
+	return int64((budget.limits.Window-maxReadDelay-maxTransit)/budget.slices.Length()) - 1
+}
+
 // windowSlices returns the number of slices that hold the decisions on retries which
 // arrive within one window.
 func (budget *Budget) windowSlices() int64 {
--- a/kernel/retry/promise_test.go
+++ b/kernel/retry/promise_test.go
@@ -187,7 +187,7 @@
 			for len(counts.requests) <= fleet.now+maxReadTicks {
 				counts.requests, counts.retries = append(counts.requests, 0), append(counts.retries, 0)
 			}
-			for range fleet.poisson(rates[service]) {
+			for range fleet.randomCount(rates[service]) {
 				counts.requests[fleet.now]++
 				entry := fleet.entries[fleet.random.IntN(len(fleet.entries))]
 				entry.unread = append(entry.unread, sentRequest{service, fleet.now})
@@ -204,8 +204,8 @@
 	}
 }
 
-// poisson returns a random number of requests with the given mean.
-func (fleet *fleet) poisson(mean float64) int {
+// randomCount returns a random number of requests with the given mean.
+func (fleet *fleet) randomCount(mean float64) int {
 	count := int(mean)
 	if fleet.random.Float64() < mean-float64(count) {
 		count++
