--- a/kernel/ratelimit/promise_test.go
+++ b/kernel/ratelimit/promise_test.go
@@ -238,6 +238,15 @@
 	assert.Assert(t, !ok && wait > 0)
 }
 
+func TestReportsMoreThanAWindowApartCount(t *testing.T) {
+	limiter, now := New(window, 2*window), start
+	limiter.SetCustomers(customers(), now)
+	limiter.ApplyReport("a", 1, Report{Spent: map[string]float64{"c": 0}}, now)
+	now = now.Add(4 * window) // the other entry does not count as silent yet
+	limiter.ApplyReport("a", 1, Report{Spent: map[string]float64{"c": 1000}}, now)
+	assert.Equal(t, limiter.Report(now).Left["c"], rate*window.Seconds()+burst-1000)
+}
+
 func TestStepOfWallClockAdmitsNoMore(t *testing.T) {
 	now := clock.System{}.Now()
 	limiter := newEntry(now)
