Log how a stream was framed and whether it ended inside an event

The line `ended at target` of a stream now names the framing (length, chunks, close), the complete events and the bytes of an unfinished one. Counters: `responses.framed.*`, and `streams.unfinished` for streams that were taken as complete inside an event. An entry finds the ends of events in every stream, not only in those that may be resumed. No decision changes.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -39,6 +39,30 @@
 	Matches func(header *fasthttp.ResponseHeader) (matches, anonymous bool)
 }
 
+// Framing is how a response states where its body ends.
+type Framing int
+
+// The framings.
+const (
+	FramedByLength Framing = iota + 1 // also for a response that has no body
+	FramedByChunks
+	FramedByClose // neither a length nor chunks: the body ends with its connection
+)
+
+// String returns the name of the framing.
+func (framing Framing) String() string {
+	switch framing {
+	case FramedByLength:
+		return "length"
+	case FramedByChunks:
+		return "chunks"
+	case FramedByClose:
+		return "close"
+	default:
+		return "none"
+	}
+}
+
 // Response is a response whose header has been read and whose body is read as a
 // stream. The user must call Close, Abort or Discard.
 type Response struct {
@@ -47,6 +71,7 @@
 	request    Request
 	conn       *conn
 	body       io.Reader
+	framing    Framing
 	complete   bool         // the body has been read to its end
 	ctxErr     func() error // the error of ctx once it has ended
 	stopCancel func() bool  // detaches the exchange from ctx; false if ctx has already ended
@@ -127,7 +152,7 @@
 // setBody sets the reader of the body according to the framing that the header
 // states: by length, chunked, or up to the end of the connection.
 func (response *Response) setBody() {
-	response.complete = false
+	response.complete, response.framing = false, FramedByLength
 	length := response.Header.ContentLength()
 	status := response.Header.StatusCode()
 	switch {
@@ -136,13 +161,18 @@
 	case length > 0:
 		response.body = &exactReader{reader: response.conn.reader, left: length}
 	case length == -1:
+		response.framing = FramedByChunks
 		response.body = httputil.NewChunkedReader(response.conn.reader)
 	default:
+		response.framing = FramedByClose
 		response.Header.SetConnectionClose()
 		response.body = response.conn.reader
 	}
 }
 
+// Framing returns how the response states where its body ends.
+func (response *Response) Framing() Framing { return response.framing }
+
 // exactReader reads a stated number of bytes and reports an earlier end as
 // io.ErrUnexpectedEOF.
 type exactReader struct {
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -56,10 +56,12 @@
 	ended        bool
 	sentAt       time.Time
 	estimate     dispatch.Estimate
-	firstEvent   time.Time     // zero before the first event
-	lastProgress time.Time     // when progress was last recorded
-	lastData     time.Time     // when the target last sent data
-	longestPause time.Duration // between two arrivals of data after the first event
+	firstEvent   time.Time        // zero before the first event
+	lastProgress time.Time        // when progress was last recorded
+	lastData     time.Time        // when the target last sent data
+	longestPause time.Duration    // between two arrivals of data after the first event
+	framing      exchange.Framing // of the response, 0 before its header has been read
+	events       eventScanner     // of a stream
 	ctx          context.Context
 	cancel       context.CancelFunc
 	outcome      dispatch.Outcome
@@ -144,8 +146,9 @@
 	if attempt.started {
 		first = attempt.firstEvent.Sub(attempt.sentAt).String()
 	}
-	attempt.call.gateway.log.Infof("request %q ended at target %s: %s after %v, first event after %s, longest pause %v, estimated %v",
-		attempt.call.head.ID, attempt.target.ID(), outcome, now.Sub(attempt.sentAt), first, attempt.longestPause, attempt.estimate)
+	attempt.call.gateway.log.Infof("request %q ended at target %s: %s after %v, first event after %s, longest pause %v, framed by %s, %d events and %d bytes of an unfinished one, estimated %v",
+		attempt.call.head.ID, attempt.target.ID(), outcome, now.Sub(attempt.sentAt), first, attempt.longestPause,
+		attempt.framing, attempt.events.events, attempt.events.unfinished, attempt.estimate)
 }
 
 // cancelStalled cancels the attempts that the dispatcher considers stalled: their
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -96,6 +96,7 @@
 	if count > 0 {
 		relay.attempt.start()
 		relay.attempt.recordProgress()
+		relay.attempt.events.scan(relay.buffer[:count])
 		if takeErr := relay.take(relay.buffer[:count]); takeErr != nil {
 			return takeErr
 		}
@@ -151,6 +152,9 @@
 	relay.pending = append(relay.pending, relay.partial...)
 	relay.partial = nil
 	relay.response.Close()
+	if relay.attempt.events.unfinished > 0 {
+		relay.call.gateway.metrics.Add("streams.unfinished", 1)
+	}
 	relay.attempt.end(dispatch.Answered)
 	return nil
 }
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -368,6 +368,8 @@
 	if err != nil {
 		return gateway.attemptFailed(call, attempt, sent, err)
 	}
+	attempt.framing = response.Framing()
+	gateway.metrics.Add("responses.framed."+attempt.framing.String(), 1)
 	responseHead := gateway.headers.ReadResponse(&response.Header)
 	status := response.Header.StatusCode()
 	switch {
