Treat a stream that ends inside an event as broken off

Cause: the relay took the end of the target's body for the end of the answer. An answer with neither a length nor chunks ends with its connection, and a target that crashes one run closes that connection in order, so the end says nothing. Only a reset or an early end of a length or of chunks was noticed. For a stream that may be resumed, the held-back part of the broken event was even added to the end.

Why this works: a response of server-sent events is complete only if its last byte ends an event. Otherwise it counts as failed at the target, like a reset: a resumable stream goes on elsewhere after the last complete event, within the budget of retries, and any other one is cut off without the last chunk. A stream framed by its connection that ends before its first event is broken off too, unless it was to continue an earlier one. The data before the break is passed on before another target is looked for. What is not a stream of events is no longer continued elsewhere. A response without a content type keeps none.

What cannot be known: a stream framed by its connection that breaks between two events looks like a complete one.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -117,6 +117,7 @@
 func (response *Response) readHeader() error {
 	for range maxResponseHeaders {
 		response.Header.Reset()
+		response.Header.SetNoDefaultContentType(true)
 		if err := response.Header.Read(response.conn.reader); err != nil {
 			return errors.Mark(errors.Wrap(err, "read response header"), ErrBadResponse)
 		}
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"strings"
 
@@ -18,24 +17,32 @@
 	maxEventBytes     = 1 << 20 // of one event of a resumable stream
 )
 
-// errTruncated aborts a response so that the caller can detect that it is
-// incomplete.
-var errTruncated = errors.New("response cut short")
+var (
+	// errTruncated aborts a response so that the caller can detect that it is
+	// incomplete.
+	errTruncated = errors.New("response cut short")
+	// errUnfinishedStream reports a stream of events whose connection, length or last
+	// chunk ended it inside an event, or before the first one.
+	errUnfinishedStream = errors.New("the stream ended inside an event or before the first one")
+)
 
 // relay passes a target's response to the caller, either complete or as a stream.
-// A resumable stream is passed on by complete events, so that it can continue at
-// another target when its connection breaks.
+// Resumable events are passed on when they are complete, so that their stream can
+// continue at another target when it is broken off.
 type relay struct {
-	call     *call
-	attempt  *attempt
-	header   fasthttp.ResponseHeader
-	body     []byte             // complete body, nil for a stream
-	response *exchange.Response // nil when the body is complete
-	pending  []byte             // data that may be passed on
-	partial  []byte             // incomplete event of a resumable stream, held back
-	lastID   string             // ID of the last complete event; not updated for a stream that is not resumable
-	finished bool               // the target's stream has been read to its end
-	buffer   []byte
+	call      *call
+	attempt   *attempt
+	header    fasthttp.ResponseHeader
+	body      []byte             // complete body, nil for a stream
+	response  *exchange.Response // nil when the body is complete
+	events    bool               // the body consists of server-sent events
+	resumable bool               // the events may continue at another target
+	pending   []byte             // data that may be passed on
+	partial   []byte             // incomplete resumable event, held back
+	lastID    string             // ID of the last complete resumable event, at first of the last one that the caller has
+	readErr   error              // from the last read of the response, not acted on yet
+	finished  bool               // the target's stream has been read to its end
+	buffer    []byte
 }
 
 func newCompleteRelay(response *exchange.Response, body []byte, attempt *attempt) *relay {
@@ -50,9 +57,21 @@
 		lastID: attempt.call.head.LastEvent, buffer: make([]byte, streamBufferBytes),
 	}
 	response.Header.CopyTo(&relay.header)
+	relay.events = isEventStream(&relay.header)
+	relay.resumable = relay.events && attempt.call.route.Resumable()
 	return relay
 }
 
+// isEventStream reports whether a response to a request for a stream consists of
+// server-sent events. A success that states no content type does.
+func isEventStream(header *fasthttp.ResponseHeader) bool {
+	mediaType, _, _ := strings.Cut(string(header.ContentType()), ";")
+	if mediaType == "" {
+		return header.StatusCode() < fasthttp.StatusMultipleChoices
+	}
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // deliver writes the response header and sets the body or its stream.
 func (relay *relay) deliver(ctx *fasthttp.RequestCtx) {
 	gateway := relay.call.gateway
@@ -89,48 +108,59 @@
 	return count, nil
 }
 
-// fill reads the next data from the target; when the connection breaks, it tries
-// to resume the stream at another target.
+// fill reads the next data from the target. It ends a complete response, and tries to
+// resume one that was broken off once the data before the break has been passed on.
 func (relay *relay) fill() error {
-	count, err := relay.response.Read(relay.buffer)
-	if count > 0 {
-		relay.attempt.start()
-		relay.attempt.recordProgress()
-		relay.attempt.events.scan(relay.buffer[:count])
-		if takeErr := relay.take(relay.buffer[:count]); takeErr != nil {
-			return takeErr
+	if err := relay.readErr; err != nil {
+		relay.readErr = nil
+		if errors.Is(err, io.EOF) && !relay.brokenOff() {
+			relay.finish()
+			return nil
 		}
+		return relay.resume(err)
 	}
-	switch {
-	case err == nil:
+	count, err := relay.response.Read(relay.buffer)
+	relay.readErr = err
+	if count == 0 {
 		return nil
-	case errors.Is(err, io.EOF):
-		return relay.finish()
 	}
-	return relay.resume(err)
+	relay.attempt.start()
+	relay.attempt.recordProgress()
+	return relay.take(relay.buffer[:count])
 }
 
-// take moves received data to pending; of a resumable stream, complete events
-// only.
+// brokenOff reports whether the bytes of a response that has been read to its end show
+// that it is incomplete. A response that states neither length nor chunks and breaks
+// between two events cannot be told from a complete one.
+func (relay *relay) brokenOff() bool {
+	if !relay.events {
+		return false
+	}
+	scanner := relay.attempt.events
+	neverBegan := scanner.events == 0 && relay.lastID == "" && relay.attempt.framing == exchange.FramedByClose
+	return scanner.unfinished > 0 || neverBegan
+}
+
+// take moves received data to pending; of resumable events, complete ones only.
 func (relay *relay) take(data []byte) error {
-	if !relay.call.route.Resumable() {
+	complete := relay.attempt.events.scan(data)
+	if !relay.resumable {
 		relay.pending = append(relay.pending[:0], data...)
 		return nil
 	}
 	relay.partial = append(relay.partial, data...)
-	end := bytes.LastIndex(relay.partial, []byte("\n\n"))
-	if end < 0 {
+	if complete == 0 {
 		if len(relay.partial) > maxEventBytes {
 			return errors.Wrapf(errTruncated, "event exceeds the limit of %d bytes", maxEventBytes)
 		}
 		return nil
 	}
-	complete := relay.partial[:end+2]
-	relay.pending = append(relay.pending[:0], complete...)
-	if id := lastEventID(complete); id != "" {
+	end := len(relay.partial) - len(data) + complete
+	relay.pending = append(relay.pending[:0], relay.partial[:end]...)
+	if id := lastEventID(relay.pending); id != "" {
 		relay.lastID = id
 	}
-	relay.partial = append(relay.partial[:0], relay.partial[end+2:]...)
+	relay.partial = append(relay.partial[:0], relay.partial[end:]...)
 	return nil
 }
 
@@ -138,7 +168,7 @@
 // none.
 func lastEventID(events []byte) string {
 	id := ""
-	for _, line := range strings.Split(string(events), "\n") {
+	for _, line := range strings.FieldsFunc(string(events), func(char rune) bool { return char == '\n' || char == '\r' }) {
 		if value, ok := strings.CutPrefix(line, "id:"); ok {
 			id = strings.TrimSpace(value)
 		}
@@ -147,24 +177,22 @@
 }
 
 // finish ends a complete response.
-func (relay *relay) finish() error {
+func (relay *relay) finish() {
 	relay.finished = true
-	relay.pending = append(relay.pending, relay.partial...)
-	relay.partial = nil
 	relay.response.Close()
-	if relay.attempt.events.unfinished > 0 {
-		relay.call.gateway.metrics.Add("streams.unfinished", 1)
-	}
 	relay.attempt.end(dispatch.Answered)
-	return nil
 }
 
 // resume continues a stream at another target after the last complete event,
 // where the route allows it. Otherwise it returns an error that wraps
-// errTruncated.
+// errTruncated. With io.EOF as the cause, the response ended without an error.
 func (relay *relay) resume(cause error) error {
 	call := relay.call
 	gateway := call.gateway
+	if errors.Is(cause, io.EOF) {
+		gateway.metrics.Add("streams.unfinished", 1)
+		cause = errUnfinishedStream
+	}
 	relay.response.Abort()
 	if call.ctx.Err() != nil {
 		relay.attempt.end(dispatch.Cancelled)
@@ -174,13 +202,13 @@
 	gateway.log.Infof("request %q was cut at target %s after event %q: %v", call.head.ID, relay.attempt.target.ID(), relay.lastID, cause)
 	call.tried = append(call.tried, relay.attempt.target.Key())
 	call.sends++
-	if !call.mayRetry(attemptResult{ran: code.RanYes}) {
+	if !relay.resumable || !call.mayRetry(attemptResult{ran: code.RanYes}) {
 		gateway.metrics.Add("streams.cut", 1)
 		return errors.Wrap(errTruncated, "the stream from the target broke and no retry is allowed")
 	}
 	call.head.LastEvent = relay.lastID
 	next, fault := gateway.forward(call)
-	if fault != nil || next.response == nil || next.header.StatusCode() != relay.header.StatusCode() {
+	if fault != nil || next.response == nil || !next.resumable || next.header.StatusCode() != relay.header.StatusCode() {
 		gateway.metrics.Add("streams.cut", 1)
 		if fault == nil {
 			next.abandon()
