--- a/entry/gateway/events_test.go
+++ b/entry/gateway/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,10 +11,12 @@
 var lineEnd = regexp.MustCompile(`\r\n|\r|\n`)
 
 // lastEventEnd returns the offset after the last empty line of a stream, 0 if it has none.
+// A CR that the stream ends with is no line end where earlier lines end with CRLF.
 func lastEventEnd(stream string) int {
 	lineStart, end := 0, 0
 	for _, span := range lineEnd.FindAllStringIndex(stream, -1) {
-		if span[0] == lineStart {
+		unfinished := stream[span[0]:] == "\r" && strings.Contains(stream[:span[0]], "\r\n")
+		if span[0] == lineStart && !unfinished {
 			end = span[1]
 		}
 		lineStart = span[1]
@@ -33,9 +36,10 @@
 		cut = min(max(cut, 0), len(stream))
 		scanner := eventScanner{}
 		end := scanner.scan([]byte(stream[:cut]))
-		if complete := scanner.scan([]byte(stream[cut:])); complete > 0 {
+		if complete := scanner.scan([]byte(stream[cut:])); complete >= 0 {
 			end = cut + complete
 		}
+		end = max(end, 0)
 		assert.Equal(t, end, lastEventEnd(stream))
 		assert.Equal(t, scanner.unfinished, len(stream)-end)
 	})
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -149,7 +149,7 @@
 		return nil
 	}
 	relay.partial = append(relay.partial, data...)
-	if complete == 0 {
+	if complete < 0 {
 		if len(relay.partial) > maxEventBytes {
 			return errors.Wrapf(errTruncated, "event exceeds the limit of %d bytes", maxEventBytes)
 		}
