Check answers of events on plain routes too, and record how answers end

It now counts as a broken answer: a safe request goes to another target, a one-time one gets 502, ran unknown.

--- a/agent/internal/engine/answer_test.go
+++ b/agent/internal/engine/answer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 	"pgregory.net/rapid"
 
 	"endiverill.example/kernel/proptest"
@@ -98,3 +99,54 @@
 	answers := startCutAnswers(f)
 	f.Fuzz(rapid.MakeFuzz(answers.checkStream))
 }
+
+// The file holds one row for each way of asking, framing and ending.
+func TestClientSeesHowAnswerEnded(t *testing.T) {
+	const body = "id: 0\ndata: x\n\nid: 1\ndata: y\n\ndata: [DONE]\n\n"
+	endings := []struct {
+		name  string
+		cut   int // after so many bytes of the body, none if negative
+		reset bool
+	}{
+		{"whole", -1, false},
+		{"closed before the body", 0, false},
+		{"closed between events", strings.Index(body, "id: 1"), false},
+		{"closed inside an event", strings.Index(body, "y"), false},
+		{"reset inside an event", strings.Index(body, "y"), true},
+	}
+	answers := startCutAnswers(t)
+	ways := map[string]func() (string, error){
+		"call": func() (string, error) {
+			response, err := answers.client.Call(post, true)
+			if err != nil {
+				return "", err
+			}
+			return string(response.Body()), nil
+		},
+		"stream": func() (string, error) {
+			events := ""
+			_, err := answers.client.Stream(context.Background(), post, func(event Event) error {
+				events += fmt.Sprintf("id: %d\ndata: %s\n\n", event.Position(), event.Data())
+				return nil
+			})
+			return events + "data: [DONE]\n\n", err
+		},
+	}
+	var table strings.Builder
+	for _, way := range []string{"call", "stream"} {
+		for _, framing := range []string{"close", "length", "chunks"} {
+			for _, ending := range endings {
+				answer := proptest.NewAnswer("Connection: close\r\n", body, framing, ending.cut, ending.reset)
+				answers.answer.Store(&answer)
+				outcome := "complete"
+				if got, err := ways[way](); err != nil {
+					outcome = "an error"
+				} else if got != body {
+					outcome = "looks complete, is not"
+				}
+				fmt.Fprintf(&table, "%-6s | %-6s | %-22s | %s\n", way, framing, ending.name, outcome)
+			}
+		}
+	}
+	golden.Assert(t, table.String(), "endings.golden")
+}
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -48,6 +48,8 @@
 func newCompleteRelay(response *exchange.Response, body []byte, attempt *attempt) *relay {
 	relay := &relay{call: attempt.call, attempt: attempt, body: body}
 	response.Header.CopyTo(&relay.header)
+	relay.events = isEventStream(&relay.header)
+	attempt.events.scan(body)
 	return relay
 }
 
@@ -58,17 +60,17 @@
 	}
 	response.Header.CopyTo(&relay.header)
 	relay.events = isEventStream(&relay.header)
+	if len(relay.header.ContentType()) == 0 && relay.header.StatusCode() < fasthttp.StatusMultipleChoices {
+		relay.events = true
+	}
 	relay.resumable = relay.events && attempt.call.route.Resumable()
 	return relay
 }
 
-// isEventStream reports whether a response to a request for a stream consists of
-// server-sent events. A success that states no content type does.
+// isEventStream reports whether a response states that it consists of server-sent
+// events.
 func isEventStream(header *fasthttp.ResponseHeader) bool {
 	mediaType, _, _ := strings.Cut(string(header.ContentType()), ";")
-	if mediaType == "" {
-		return header.StatusCode() < fasthttp.StatusMultipleChoices
-	}
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -385,13 +385,18 @@
 		return attemptResult{relay: newStreamRelay(response, attempt), ran: code.RanYes}
 	}
 	body, err := response.ReadAll()
+	relay := newCompleteRelay(response, body, attempt)
+	if err == nil && relay.brokenOff() {
+		gateway.metrics.Add("streams.unfinished", 1)
+		err = errUnfinishedStream
+	}
 	if err != nil {
 		response.Abort()
 		return gateway.attemptFailed(call, attempt, true, err)
 	}
 	response.Close()
 	attempt.start()
-	result := attemptResult{relay: newCompleteRelay(response, body, attempt), ran: code.RanYes}
+	result := attemptResult{relay: relay, ran: code.RanYes}
 	if status < fasthttp.StatusInternalServerError {
 		attempt.end(dispatch.Answered)
 	} else {
--- a/kernel/proptest/answer.go
+++ b/kernel/proptest/answer.go
@@ -22,20 +22,37 @@
 // DrawAnswer draws how an answer with these header lines, each ended by CRLF, and body is
 // framed, where it is cut, if at all, and how its connection ends.
 func DrawAnswer(t *rapid.T, header, body string) Answer {
-	answer := Answer{framing: rapid.SampledFrom([]string{"close", "length", "chunks"}).Draw(t, "framing"), body: body, framed: body}
-	switch answer.framing {
+	framing := rapid.SampledFrom([]string{"close", "length", "chunks"}).Draw(t, "framing")
+	answer := newAnswer(header, body, framing, rapid.IntRange(1, 40).Draw(t, "chunk size"))
+	if rapid.Bool().Draw(t, "cut") {
+		answer.sent = rapid.IntRange(0, answer.sent).Draw(t, "sent bytes")
+		answer.reset = rapid.Bool().Draw(t, "reset")
+	}
+	return answer
+}
+
+// NewAnswer returns an answer with these header lines, each ended by CRLF, and body, framed
+// by "close", "length" or "chunks". It is cut after so many bytes of the body, or not at all
+// if cut is negative.
+func NewAnswer(header, body, framing string, cut int, reset bool) Answer {
+	answer := newAnswer(header, body, framing, max(len(body), 1))
+	if cut >= 0 {
+		answer.sent, answer.reset = len(answer.head)+len(answer.framed[:strings.Index(answer.framed, body)])+cut, reset
+	}
+	return answer
+}
+
+func newAnswer(header, body, framing string, chunkSize int) Answer {
+	answer := Answer{framing: framing, body: body, framed: body}
+	switch framing {
 	case "length":
 		header += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	case "chunks":
 		header += "Transfer-Encoding: chunked\r\n"
-		answer.framed = Chunk(body, rapid.IntRange(1, 40).Draw(t, "chunk size"))
+		answer.framed = Chunk(body, chunkSize)
 	}
 	answer.head = "HTTP/1.1 200 OK\r\n" + header + "\r\n"
 	answer.sent = len(answer.head) + len(answer.framed)
-	if rapid.Bool().Draw(t, "cut") {
-		answer.sent = rapid.IntRange(0, answer.sent).Draw(t, "sent bytes")
-		answer.reset = rapid.Bool().Draw(t, "reset")
-	}
 	return answer
 }
 
