--- a/entry/gateway/headercodec.go
+++ b/entry/gateway/headercodec.go
@@ -41,10 +41,12 @@
 
 // ResponseHead holds what the gateway reads from the header of a target's response.
 type ResponseHead struct {
-	NotRun      bool // the target states that it has not run the request
-	Sealed      bool // carries the target's signature
-	Encoded     bool // the body has a content encoding; targets use none, so it was changed on the way
-	Misdirected bool // the target is another incarnation or does not hold the model
+	NotRun      bool          // the target states that it has not run the request
+	Sealed      bool          // carries the target's signature
+	Encoded     bool          // the body has a content encoding; targets use none, so it was changed on the way
+	Misdirected bool          // the target is another incarnation or does not hold the model
+	Rest        time.Duration // for which the target, which has turned the request away, asks this instance for no further ones; 0 for none
+	Leaving     bool          // the target states that it leaves
 }
 
 // HeaderCodec reads and writes the HTTP headers of a platform. An implementation
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -371,6 +371,7 @@
 	attempt.framing = response.Framing()
 	gateway.metrics.Add("responses.framed."+attempt.framing.String(), 1)
 	responseHead := gateway.headers.ReadResponse(&response.Header)
+	gateway.recordNotice(attempt, responseHead)
 	status := response.Header.StatusCode()
 	switch {
 	case responseHead.NotRun:
@@ -413,6 +414,20 @@
 	return gateway.dispatcher.Usable(target.Key())
 }
 
+// recordNotice logs and counts what a target asks of this instance in a response.
+func (gateway *Gateway) recordNotice(attempt *attempt, responseHead ResponseHead) {
+	if responseHead.Rest > 0 {
+		gateway.metrics.Add("targets.rests", 1)
+		gateway.log.Infof("target %s asks for a rest of %v, in response to request %q, sends %d",
+			attempt.target.ID(), responseHead.Rest, attempt.call.head.ID, attempt.call.sends+1)
+	}
+	if responseHead.Leaving {
+		gateway.metrics.Add("targets.leaving", 1)
+		gateway.log.Infof("target %s states that it leaves, in response to request %q, sends %d",
+			attempt.target.ID(), attempt.call.head.ID, attempt.call.sends+1)
+	}
+}
+
 // attemptDeclined records that a target did not run the request and, if the request
 // was misdirected, that the target does not hold its model or adapter.
 func (gateway *Gateway) attemptDeclined(attempt *attempt, responseHead ResponseHead) {
