Send nothing to a target during the rest that it asked for

Callers were sent to targets that had just said that they take nothing, and refused.

Cause: nothing acted on Retry-After of a target's answer. A refusal only counted as a failure, three of which in a row add a penalty to the cost of the target for up to 2 s. A target that refuses everything has nothing to do and looks idle, so it was chosen again at once.

Why this works: every way from an entry to a target goes through Dispatcher.Choose, and through Usable right before the request is sent. Both leave out a target at rest: first choice, retry, resumed stream, request that waited for a model or an adapter, affinity. The rest belongs to an incarnation of the target and outlasts reports, answers of earlier requests, shorter rests and changes of the list. It is measured by the steady clock. If all targets that could take a request rest, it is refused at once, code 1411, ran no, with the time until the first of them is back; entries and callers add a random part, so that they do not all return at one moment. A rest is no failure: it neither backs the target off nor raises its failure rate. A caller whose last target declined is told to come back after 100 ms if another target would take the request now, and else when one is expected to.

A choice now looks past targets that cannot take the request until it has evaluated 96 that can; before, it looked at 96 in all, and missed a ready one behind 1,399 at rest.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -256,10 +256,43 @@
 		if fallback != nil {
 			return fallback, nil
 		}
-		return nil, result.fault.WithRan(ran)
+		fault = result.fault
+		if fault.Code() == code.Declined {
+			fault = fault.WithRetryAfter(gateway.declinedRetryAfter(call))
+		}
+		return nil, fault.WithRan(ran)
+	}
+}
+
+// declinedRetryAfter returns after how long a call that its last target has declined may
+// be served by another target.
+func (gateway *Gateway) declinedRetryAfter(call *call) time.Duration {
+	gateway.mu.Lock()
+	decision := gateway.dispatcher.Choose(&call.placement, call.tried, gateway.clock.Now())
+	gateway.mu.Unlock()
+	switch decision := decision.(type) {
+	case dispatch.Send, dispatch.LoadAdapter:
+		return minDeclinedRetryAfter
+	case dispatch.Refuse:
+		if decision.Reason != dispatch.NoTarget {
+			return refusalFault(decision).RetryAfter()
+		}
 	}
+	return defaultRetryAfter
+}
+
+// spreadRest lengthens a rest at random, so that callers and entries do not all come back
+// at its end.
+func spreadRest(rest time.Duration) time.Duration {
+	return rest + time.Duration(randomFraction()*float64(min(rest/restSpreadPart, maxRestSpread)))
 }
 
+const (
+	restSpreadPart        = 4 // a rest is lengthened by up to one of so many parts of it
+	maxRestSpread         = time.Second
+	minDeclinedRetryAfter = 100 * time.Millisecond // when another target would take the request now
+)
+
 // attemptResult is the result of one attempt. A relay together with a fault is
 // an error response of the target; another target may succeed.
 type attemptResult struct {
@@ -346,6 +379,8 @@
 		return code.New(code.QueueFull, code.RanNo, "no target would begin in time, the best one after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
 	case dispatch.NoSpare:
 		return code.New(code.RateExceeded, code.RanNo, "the customer is above its rate and no target is idle, the best one would begin after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
+	case dispatch.Resting:
+		return code.New(code.TargetsResting, code.RanNo, "each target that could take the request has asked for a rest").WithRetryAfter(spreadRest(refuse.RetryAfter))
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.RetryAfter)
 	case dispatch.TooLarge:
@@ -359,7 +394,7 @@
 // complete response unless the route is for streams.
 func (gateway *Gateway) try(call *call, target *directory.Target) attemptResult {
 	if !gateway.usable(target) {
-		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves").WithRetryAfter(defaultRetryAfter)}
+		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves or is at rest").WithRetryAfter(defaultRetryAfter)}
 	}
 	gateway.peers.recordAdapterUse(target.Key(), &call.placement)
 	attempt := call.newAttempt(target)
@@ -411,15 +446,21 @@
 func (gateway *Gateway) usable(target *directory.Target) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return gateway.dispatcher.Usable(target.Key())
+	return gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
 }
 
-// recordNotice logs and counts what a target asks of this instance in a response.
+// recordNotice records the rest that a target asks for in a response, and logs that it
+// leaves.
 func (gateway *Gateway) recordNotice(attempt *attempt, responseHead ResponseHead) {
+	key, now := attempt.target.Key(), gateway.clock.Now()
 	if responseHead.Rest > 0 {
+		until := now.Add(spreadRest(responseHead.Rest))
+		gateway.mu.Lock()
+		gateway.dispatcher.RecordRest(key, until, now)
+		gateway.mu.Unlock()
 		gateway.metrics.Add("targets.rests", 1)
-		gateway.log.Infof("target %s asks for a rest of %v, in response to request %q, sends %d",
-			attempt.target.ID(), responseHead.Rest, attempt.call.head.ID, attempt.call.sends+1)
+		gateway.log.Infof("target %s asks for a rest of %v, kept for %v, in response to request %q, sends %d",
+			attempt.target.ID(), responseHead.Rest, until.Sub(now), attempt.call.head.ID, attempt.call.sends+1)
 	}
 	if responseHead.Leaving {
 		gateway.metrics.Add("targets.leaving", 1)
@@ -431,7 +472,11 @@
 // attemptDeclined records that a target did not run the request and, if the request
 // was misdirected, that the target does not hold its model or adapter.
 func (gateway *Gateway) attemptDeclined(attempt *attempt, responseHead ResponseHead) {
-	attempt.end(dispatch.Declined)
+	outcome := dispatch.Declined
+	if responseHead.Rest > 0 {
+		outcome = dispatch.Rested
+	}
+	attempt.end(outcome)
 	if !responseHead.Misdirected {
 		return
 	}
--- a/kernel/code/code.go
+++ b/kernel/code/code.go
@@ -41,6 +41,7 @@
 	Revoked         Code = 1408
 	CallerGone      Code = 1409
 	Declined        Code = 1410
+	TargetsResting  Code = 1411
 	StoreDown       Code = 1501
 	StillRunning    Code = 1502
 	Stopping        Code = 1601
@@ -98,6 +99,7 @@
 	StartByPassed:   {StartByPassed, "start-by-passed", 503, "The request reached the target after its start-by time."},
 	Revoked:         {Revoked, "revoked", 503, "The request was revoked before it started."},
 	Declined:        {Declined, "declined", 503, "The target stated that it did not run the request."},
+	TargetsResting:  {TargetsResting, "targets-resting", 503, "Each target that could take the request has asked for a rest."},
 	CallerGone:      {CallerGone, "caller-gone", 499, "The caller closed its connection."},
 	StoreDown:       {StoreDown, "store-down", 503, "The platform's object API does not answer, so the request could not be recorded."},
 	StillRunning:    {StillRunning, "still-running", 409, "A request of the same ID is on record and has not ended."},
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -28,46 +28,60 @@
 	planDelay            = 300 * time.Millisecond // until the planner has seen the demand and its load order has been sent
 )
 
-// Choose decides what to do with a request. It never chooses a target in tried.
+// Choose decides what to do with a request. It never chooses a target in tried. In large
+// fleets it evaluates maxEvaluated of the targets that could take the request, from an
+// offset that moves with each request sent, which bounds the time of a choice.
 func (dispatcher *Dispatcher) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
 	best := candidate{}
-	holders, anyFits := 0, false
+	holders, fitting := 0, 0
+	restsUntil := time.Time{} // the earliest end of the rests, zero if no target is at rest
 	candidates := dispatcher.candidates(request.Service, request.Model)
 	preferred := dispatcher.preferredTarget(candidates, request)
-	first, count := dispatcher.sample(len(candidates))
-	for index := range count {
+	first := dispatcher.firstEvaluated(len(candidates))
+	for index := range candidates {
 		replica := candidates[(first+index)%len(candidates)]
-		if replica.leaving() || slices.Contains(tried, replica.target.Key()) || replica.silent(now) {
+		if replica.leaving() {
+			continue
+		}
+		if replica.resting(now) {
+			if end := replica.notice.restUntil; restsUntil.IsZero() || end.Before(restsUntil) {
+				restsUntil = end
+			}
+			continue
+		}
+		if slices.Contains(tried, replica.target.Key()) || replica.silent(now) {
 			continue
 		}
 		holders++
 		if total := replica.report.TotalKV; total > 0 && request.kvTokens() > total {
 			continue
 		}
-		anyFits = true
 		if evaluated := dispatcher.evaluate(replica, request, replica == preferred, now); best.replica == nil || evaluated.cost < best.cost {
 			best = evaluated
 		}
+		if fitting++; fitting == maxEvaluated {
+			break
+		}
 	}
 	switch {
-	case anyFits:
+	case fitting > 0:
 		return best.admit(request, now)
 	case holders > 0:
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
+	case !restsUntil.IsZero():
+		return Refuse{Reason: Resting, RetryAfter: restsUntil.Sub(now)}
 	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
 	return dispatcher.decideNotResident(request, now)
 }
 
-// sample returns the range of candidates to evaluate: all of them, or
-// maxEvaluated from an offset that moves with each request sent. This bounds the
-// time of a choice in large fleets.
-func (dispatcher *Dispatcher) sample(candidates int) (first, count int) {
+// firstEvaluated returns the index of the candidate that is evaluated first.
+func (dispatcher *Dispatcher) firstEvaluated(candidates int) int {
 	if candidates <= maxEvaluated {
-		return 0, candidates
+		return 0
 	}
-	return int(dispatcher.lastAttempt % uint64(candidates) * maxEvaluated % uint64(candidates)), maxEvaluated
+	return int(dispatcher.lastAttempt % uint64(candidates) * maxEvaluated % uint64(candidates))
 }
 
 // acceptsWork reports whether a service has a target that takes new requests and
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -19,8 +19,9 @@
 	services         map[string][]*replica // listed targets by service
 	modelIndex       modelIndex
 	preferredTargets map[adapterKey]*replica // cleared when the index changes
-	lastAttempt      uint64                  // number of the newest attempt
-	loading          map[string]time.Time    // expected end of each load in progress, by model
+	notices          map[directory.TargetKey]*notice
+	lastAttempt      uint64               // number of the newest attempt
+	loading          map[string]time.Time // expected end of each load in progress, by model
 	catalogue        *directory.Directory
 }
 
@@ -31,6 +32,7 @@
 		replicas:         map[directory.TargetKey]*replica{},
 		services:         map[string][]*replica{},
 		modelIndex:       modelIndex{},
+		notices:          map[directory.TargetKey]*notice{},
 		preferredTargets: map[adapterKey]*replica{},
 		loading:          map[string]time.Time{},
 	}
@@ -49,6 +51,7 @@
 		known := dispatcher.replicas[key]
 		if known == nil {
 			known = newReplica(target)
+			known.notice = dispatcher.notices[key]
 			dispatcher.replicas[key] = known
 		}
 		known.target, known.unlisted = target, false
@@ -141,9 +144,9 @@
 }
 
 // Usable reports whether requests may be sent to the target.
-func (dispatcher *Dispatcher) Usable(key directory.TargetKey) bool {
+func (dispatcher *Dispatcher) Usable(key directory.TargetKey, now time.Time) bool {
 	replica := dispatcher.replicas[key]
-	return replica != nil && !replica.leaving()
+	return replica != nil && !replica.leaving() && !replica.resting(now)
 }
 
 // RecordSent records that a request was sent to a target. It returns the number that
@@ -287,11 +290,12 @@
 	Failed                           // the connection broke, the target was silent, or its answer was malformed
 	Cancelled                        // the caller or this instance cancelled the request
 	InternalError                    // the target answered with an internal error
+	Rested                           // as Declined, and the target asked for a rest, which is no failure
 )
 
 // String returns the outcome's name.
 func (outcome Outcome) String() string {
-	names := []string{"none", "answered", "declined", "failed", "withdrawn", "erred"}
+	names := []string{"none", "answered", "declined", "failed", "withdrawn", "erred", "rested"}
 	if int(outcome) < len(names) {
 		return names[outcome]
 	}
@@ -312,6 +316,8 @@
 	case InternalError:
 		replica.lastActivity = now
 		replica.sampleFailure(1, now)
+	case Rested:
+		replica.lastActivity = now
 	case Failed:
 		replica.countFailure(now)
 		replica.sampleFailure(1, now)
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -197,7 +197,7 @@
 	dispatcher, keys := newTestDispatcher("a")
 	dispatcher.SetReport(keys[0], directory.Report{At: start, Draining: true, Models: []directory.ResidentModel{{Model: "m"}}})
 	assert.Equal(t, dispatcher.Choose(newTestRequest(), nil, start).(Refuse).Reason, NoTarget)
-	assert.Assert(t, !dispatcher.Usable(keys[0]))
+	assert.Assert(t, !dispatcher.Usable(keys[0], start))
 }
 
 func TestChoiceWithoutResidentAdapterLoadsIt(t *testing.T) {
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -43,7 +43,8 @@
 // replica is the state of one target.
 type replica struct {
 	target          *directory.Target
-	unlisted        bool // no longer listed, kept until its attempts end
+	unlisted        bool    // no longer listed, kept until its attempts end
+	notice          *notice // nil if the target has asked for nothing
 	report          directory.Report
 	reported        bool                // report is set
 	listOutdated    bool                // the models in the list were found to be wrong and are not used
