Send nothing more to a target whose answers say that it leaves

Why this works: the entry records it with the target's incarnation, like a rest, from the first answer that carries it, whatever the answer is. The target counts as leaving in every choice and right before a request is sent. It outlasts the list, so that a list that returns with `ready` changes nothing; it is forgotten ten minutes after the last answer that said it, once the target is not listed.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -449,8 +449,8 @@
 	return gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
 }
 
-// recordNotice records the rest that a target asks for in a response, and logs that it
-// leaves.
+// recordNotice records what a target asks of this instance in a response: a rest, or no
+// requests any more because it leaves.
 func (gateway *Gateway) recordNotice(attempt *attempt, responseHead ResponseHead) {
 	key, now := attempt.target.Key(), gateway.clock.Now()
 	if responseHead.Rest > 0 {
@@ -462,10 +462,15 @@
 		gateway.log.Infof("target %s asks for a rest of %v, kept for %v, in response to request %q, sends %d",
 			attempt.target.ID(), responseHead.Rest, until.Sub(now), attempt.call.head.ID, attempt.call.sends+1)
 	}
-	if responseHead.Leaving {
+	if !responseHead.Leaving {
+		return
+	}
+	gateway.mu.Lock()
+	first := gateway.dispatcher.RecordLeaving(key, now)
+	gateway.mu.Unlock()
+	if first {
 		gateway.metrics.Add("targets.leaving", 1)
-		gateway.log.Infof("target %s states that it leaves, in response to request %q, sends %d",
-			attempt.target.ID(), attempt.call.head.ID, attempt.call.sends+1)
+		gateway.log.Infof("target %s states that it leaves, in response to request %q", attempt.target.ID(), attempt.call.head.ID)
 	}
 }
 
--- a/kernel/dispatch/notice.go
+++ b/kernel/dispatch/notice.go
@@ -6,13 +6,15 @@
 	"endiverill.example/kernel/directory"
 )
 
-// noticeTTL is how long a notice is kept after the rest has ended.
+// noticeTTL is how long a notice is kept after the target was last listed or the rest
+// has ended. By then a target that leaves has ended.
 const noticeTTL = 10 * time.Minute
 
 // notice is what a target has asked of this instance in its answers. It holds for one
 // incarnation of the target and outlasts the target's place in the list.
 type notice struct {
 	restUntil time.Time // until then, this instance sends nothing
+	leaving   bool      // this instance sends nothing any more
 	expires   time.Time // when it can be dropped if the target is not listed
 }
 
@@ -25,6 +27,15 @@
 	}
 }
 
+// RecordLeaving records that a target stated that it leaves, whatever the list says. It
+// reports whether this is new.
+func (dispatcher *Dispatcher) RecordLeaving(key directory.TargetKey, now time.Time) bool {
+	notice := dispatcher.notice(key, now)
+	known := notice.leaving
+	notice.leaving, notice.expires = true, now.Add(noticeTTL)
+	return !known
+}
+
 // notice returns the notice of a target, after it has dropped the expired ones when
 // there is none yet.
 func (dispatcher *Dispatcher) notice(key directory.TargetKey, now time.Time) *notice {
--- a/kernel/dispatch/notice_test.go
+++ b/kernel/dispatch/notice_test.go
@@ -81,11 +81,25 @@
 func TestTargetStartedAnewInheritsNotice(t *testing.T) {
 	dispatcher, keys := newTestDispatcher("a")
 	dispatcher.RecordRest(keys[0], start.Add(testRest), start)
+	dispatcher.RecordLeaving(keys[0], start)
 	again := directory.NewTarget(directory.TargetSpec{ID: "a", Service: "llm", StartedAt: 7, Slots: 4, Models: []directory.ResidentModel{{Model: "m"}}})
 	dispatcher.SetTargets([]*directory.Target{again})
 	assert.Equal(t, sentTo(t, dispatcher.Choose(newTestRequest(), nil, start)), "a")
 }
 
+func TestTargetThatLeavesIsChosenWhileListedAsReady(t *testing.T) {
+	dispatcher, keys := newTestDispatcher("a")
+	assert.Assert(t, dispatcher.RecordLeaving(keys[0], start))
+	assert.Assert(t, !dispatcher.RecordLeaving(keys[0], start))
+	dispatcher.SetReport(keys[0], directory.Report{At: start, Models: []directory.ResidentModel{{Model: "m"}}})
+	for range 2 {
+		assert.Equal(t, dispatcher.Choose(newTestRequest(), nil, start.Add(time.Hour)).(Refuse).Reason, NoTarget)
+		assert.Assert(t, !dispatcher.Usable(keys[0], start.Add(time.Hour)))
+		dispatcher.SetTargets(nil)
+		dispatcher.SetTargets([]*directory.Target{newTestTarget("a")})
+	}
+}
+
 func TestReadyTargetIsMissedBehindThoseAtRest(t *testing.T) {
 	names := ids(1400)
 	dispatcher, keys := newTestDispatcher(names...)
@@ -101,7 +115,7 @@
 		dispatcher.RecordRest(key, start.Add(testRest), start)
 	}
 	dispatcher.SetTargets([]*directory.Target{newTestTarget("new")})
-	dispatcher.RecordRest(newTestTarget("new").Key(), start.Add(3*noticeTTL), start.Add(2*noticeTTL))
+	dispatcher.RecordLeaving(newTestTarget("new").Key(), start.Add(2*noticeTTL))
 	assert.Equal(t, len(dispatcher.notices), 1)
 }
 
@@ -110,7 +124,7 @@
 func TestPromiseTargetGetsNothingItAskedNotToGet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		dispatcher, keys := newTestDispatcher("a", "b", "c")
-		restUntil := map[string]time.Time{}
+		restUntil, left := map[string]time.Time{}, map[string]bool{}
 		now := start
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
@@ -122,6 +136,9 @@
 				if until.After(restUntil[key.ID]) {
 					restUntil[key.ID] = until
 				}
+			case 1:
+				dispatcher.RecordLeaving(key, now)
+				left[key.ID] = true
 			case 2:
 				var targets []*directory.Target
 				for _, listed := range keys {
@@ -138,8 +155,8 @@
 			}
 			request := newTestRequest()
 			request.StartBy = now.Add(2 * time.Second)
-			if send, ok := dispatcher.Choose(request, nil, now).(Send); ok && now.Before(restUntil[send.Target.ID()]) {
-				t.Fatalf("sent to %s at %v, which rests until %v", send.Target.ID(), now, restUntil[send.Target.ID()])
+			if send, ok := dispatcher.Choose(request, nil, now).(Send); ok && (left[send.Target.ID()] || now.Before(restUntil[send.Target.ID()])) {
+				t.Fatalf("sent to %s at %v, which leaves: %v, and rests until %v", send.Target.ID(), now, left[send.Target.ID()], restUntil[send.Target.ID()])
 			}
 		}
 	})
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -100,7 +100,7 @@
 
 // leaving reports whether the target takes no new requests.
 func (replica *replica) leaving() bool {
-	return replica.unlisted || replica.target.Draining() || replica.reported && replica.report.Draining
+	return replica.unlisted || replica.target.Draining() || replica.reported && replica.report.Draining || replica.notice != nil && replica.notice.leaving
 }
 
 // holds reports whether the target holds the model; a request without a model needs
