Respect the rests that targets ask for in the product's own path as well

- The product's own path: the agent is the only process that calls its target, so its client keeps the rest and sends nothing but cancellations meanwhile: no request, order or question for the state.
The agent refuses requests at once, those that wait in its queue too, with code 1411, ran no, and the time that is left.
The entry picks such a replica in no policy, not even as the last one; if all rest, callers are refused at once.
A rest neither ejects the replica nor counts as a failure.

Retry-After is parsed in one place, package retry, which also spreads the times at which those who were given the same wait come back.

--- a/agent/agent/agent.go
+++ b/agent/agent/agent.go
@@ -61,7 +61,7 @@
 		target:   values.String("agent.target"),
 		log:      base.Log("agent"),
 		wake:     make(chan struct{}, 1),
-		client:   engine.New(values.String("agent.address"), values.Duration("agent.idle_timeout")),
+		client:   engine.New(values.String("agent.address"), values.Duration("agent.idle_timeout"), base.Clock()),
 		state: controlState{
 			queue:      queue.New(values.Int("agent.queue_limit")),
 			dispatches: map[string]*trackedDispatch{},
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,9 @@
 	if request.Incarnation != 0 && request.Incarnation != agent.Incarnation() {
 		return code.New(code.WrongTarget, code.RanNo, "the agent of target %s was restarted", agent.target)
 	}
+	if left := agent.client.RestLeft(); left > 0 {
+		return agent.restFault(left)
+	}
 	if err := agent.checkKey(request); err != nil {
 		return err
 	}
@@ -82,6 +86,11 @@
 	return nil
 }
 
+// restFault returns the fault of a request that the target cannot get during its rest.
+func (agent *Agent) restFault(left time.Duration) *code.Fault {
+	return code.New(code.TargetsResting, code.RanNo, "target %s has asked for a rest", agent.target).WithRetryAfter(left)
+}
+
 // checkKey checks the caller's key against the agent's configuration if that is
 // newer than the entry's.
 func (agent *Agent) checkKey(request *wire.Request) *code.Fault {
@@ -173,10 +182,11 @@
 }
 
 // grantSlots grants free slots to queued requests, and refuses those whose latest
-// start has passed. It runs in the control goroutine.
+// start has passed, or all if the target is at rest. It runs in the control goroutine.
 func (agent *Agent) grantSlots() {
 	state := &agent.state
-	for state.busySlots < int(agent.slots.Load()) {
+	restLeft := agent.client.RestLeft()
+	for restLeft > 0 || state.busySlots < int(agent.slots.Load()) {
 		item, late := state.queue.Pop(agent.Clock().Now())
 		for _, expired := range late {
 			expired.Payload().(*ticket).grant <- code.New(code.DeadlineTooNear, code.RanNo, "the request waited until its latest start")
@@ -184,6 +194,10 @@
 		if item == nil {
 			break
 		}
+		if restLeft > 0 {
+			item.Payload().(*ticket).grant <- agent.restFault(restLeft)
+			continue
+		}
 		state.busySlots++
 		item.Payload().(*ticket).grant <- nil
 	}
@@ -236,7 +250,7 @@
 		return sink.send(&wire.Frame{Kind: wire.FrameData, Data: event.Data(), Tokens: 1})
 	})
 	if err != nil {
-		return agent.refuse(sink, targetError(err))
+		return agent.refuse(sink, agent.targetError(err))
 	}
 	if response != nil {
 		return agent.refuseResponse(sink, response)
@@ -247,13 +261,19 @@
 // refuseResponse ends an answer with an error when the engine refused the
 // request.
 func (agent *Agent) refuseResponse(sink *sink, response *engine.Response) error {
+	if left := agent.client.RestLeft(); left > 0 && response.Status() == http.StatusServiceUnavailable {
+		return agent.refuse(sink, agent.restFault(left))
+	}
 	err := code.New(code.EngineRefused, code.RanNo, "the engine refused with status %d", response.Status())
 	return agent.refuse(sink, err)
 }
 
 // targetError converts the error of a call to the target into a fault that says
 // whether the request may have run.
-func targetError(err error) *code.Fault {
+func (agent *Agent) targetError(err error) *code.Fault {
+	if left := agent.client.RestLeft(); left > 0 && errors.Is(err, engine.ErrNotSent) {
+		return agent.restFault(left)
+	}
 	if errors.Is(err, engine.ErrNotSent) {
 		return code.New(code.EngineRefused, code.RanNo, "the target was not reached")
 	}
@@ -265,7 +285,7 @@
 func (agent *Agent) relayUnary(sink *sink) error {
 	response, err := agent.client.Call(sink.request, false)
 	if err != nil {
-		return agent.refuse(sink, targetError(err))
+		return agent.refuse(sink, agent.targetError(err))
 	}
 	if sink.request.Model != "" && response.Status() >= 500 {
 		return agent.refuseResponse(sink, response)
--- a/agent/internal/engine/answer_test.go
+++ b/agent/internal/engine/answer_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/golden"
 	"pgregory.net/rapid"
 
+	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/proptest"
 	"endiverill.example/kernel/wire"
 )
@@ -32,7 +33,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
 	tb.Cleanup(func() { assert.NilError(tb, listener.Close()) })
-	answers := &cutAnswers{client: New(listener.Addr().String(), time.Second)}
+	answers := &cutAnswers{client: New(listener.Addr().String(), time.Second, clock.System{})}
 	go acceptConnections(listener, func(_ int, conn net.Conn) {
 		var request fasthttp.Request
 		if request.Read(bufio.NewReader(conn)) == nil {
--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -10,11 +10,14 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
 
@@ -24,6 +27,7 @@
 var (
 	ErrNotSent   = errors.New("cannot connect to the target, the request was not sent")
 	ErrTruncated = errors.New("the response ended before it was complete")
+	errResting   = errors.New("the target has asked for a rest, the request was not sent")
 )
 
 const (
@@ -32,17 +36,46 @@
 	maxConns     = 4096     // to the target, per HTTP client
 )
 
-// Client sends requests and orders to one target.
+// Client sends requests and orders to one target. When the target answers 503 with
+// Retry-After, nothing is sent to it for so long, except cancellations; calls then fail
+// with ErrNotSent.
 type Client struct {
-	address  string
-	pooled   *fasthttp.Client // for calls that may be repeated on a new connection
-	unpooled *fasthttp.Client // a new connection for each call
+	address   string
+	clock     clock.Clock
+	createdAt time.Time
+	restUntil atomic.Int64     // nanoseconds after createdAt
+	pooled    *fasthttp.Client // for calls that may be repeated on a new connection
+	unpooled  *fasthttp.Client // a new connection for each call
 }
 
 // New returns a client of the target at address, HOST:PORT. A read that gets no
 // data for idleTimeout fails.
-func New(address string, idleTimeout time.Duration) *Client {
-	return &Client{address: address, pooled: newHTTPClient(idleTimeout, true), unpooled: newHTTPClient(idleTimeout, false)}
+func New(address string, idleTimeout time.Duration, clock clock.Clock) *Client {
+	return &Client{
+		address: address, clock: clock, createdAt: clock.Now(),
+		pooled: newHTTPClient(idleTimeout, true), unpooled: newHTTPClient(idleTimeout, false),
+	}
+}
+
+// RestLeft returns how long the target has still asked for no requests, 0 if it takes
+// them.
+func (client *Client) RestLeft() time.Duration {
+	return max(time.Duration(client.restUntil.Load())-client.clock.Now().Sub(client.createdAt), 0)
+}
+
+// recordRest records the rest that a response asks for, if any.
+func (client *Client) recordRest(httpResponse *fasthttp.Response) {
+	if httpResponse.StatusCode() != fasthttp.StatusServiceUnavailable {
+		return
+	}
+	rest := retry.ParseAfter(string(httpResponse.Header.Peek(fasthttp.HeaderRetryAfter)))
+	end := int64(client.clock.Now().Add(rest).Sub(client.createdAt))
+	for {
+		before := client.restUntil.Load()
+		if rest == 0 || end <= before || client.restUntil.CompareAndSwap(before, end) {
+			return
+		}
+	}
 }
 
 func newHTTPClient(idleTimeout time.Duration, stream bool) *fasthttp.Client {
@@ -142,6 +175,14 @@
 // new connection and never retries, so that ErrNotSent proves that the target
 // did not receive the request. Without it, a call may be sent a second time.
 func (client *Client) Call(request *wire.Request, newConn bool) (*Response, error) {
+	if client.RestLeft() > 0 {
+		return nil, errors.Mark(errResting, ErrNotSent)
+	}
+	return client.call(request, newConn)
+}
+
+// call is Call whether or not the target is at rest.
+func (client *Client) call(request *wire.Request, newConn bool) (*Response, error) {
 	httpRequest, httpResponse := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(httpRequest)
 	defer fasthttp.ReleaseResponse(httpResponse)
@@ -154,6 +195,7 @@
 	if err := do(sender, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
+	client.recordRest(httpResponse)
 	response := readHead(httpResponse)
 	body, err := readBody(httpResponse)
 	if err != nil {
@@ -193,6 +235,9 @@
 // ErrTruncated when the stream ends without the marker, the error of handle when
 // that fails, and a response when the target's status is not 200.
 func (client *Client) Stream(ctx context.Context, request *wire.Request, handle func(Event) error) (*Response, error) {
+	if client.RestLeft() > 0 {
+		return nil, errors.Mark(errResting, ErrNotSent)
+	}
 	httpRequest, httpResponse := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(httpRequest)
 	defer fasthttp.ReleaseResponse(httpResponse)
@@ -200,6 +245,7 @@
 	if err := do(client.pooled, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
+	client.recordRest(httpResponse)
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
 		response := readHead(httpResponse)
 		body, err := readBody(httpResponse)
@@ -216,9 +262,9 @@
 	if err != nil {
 		return
 	}
-	_, _ = client.post("/v1/cancel", body)
+	_, _ = client.call(newPost("/v1/cancel", body), false)
 }
 
-func (client *Client) post(path string, body []byte) (*Response, error) {
-	return client.Call(&wire.Request{Method: fasthttp.MethodPost, Path: path, Body: body}, false)
+func newPost(path string, body []byte) *wire.Request {
+	return &wire.Request{Method: fasthttp.MethodPost, Path: path, Body: body}
 }
--- a/agent/internal/engine/client_test.go
+++ b/agent/internal/engine/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/wire"
 )
 
@@ -42,7 +43,7 @@
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, listener.Close()) }()
 	go acceptConnections(listener, func(_ int, conn net.Conn) { _ = answer(conn, bufio.NewReader(conn)) })
-	client := New(listener.Addr().String(), time.Second)
+	client := New(listener.Addr().String(), time.Second, clock.System{})
 	for range 3 {
 		response, err := client.Call(post, false)
 		assert.NilError(t, err)
@@ -65,7 +66,7 @@
 		_ = request.Read(reader)
 		_ = listener.Close()
 	})
-	client := New(listener.Addr().String(), time.Second)
+	client := New(listener.Addr().String(), time.Second, clock.System{})
 	_, err = client.Call(post, false)
 	assert.NilError(t, err)
 	_, err = client.Call(post, false)
--- a/agent/internal/engine/orders.go
+++ b/agent/internal/engine/orders.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := client.post(path, body)
+	response, err := client.Call(newPost(path, body), false)
 	if err != nil {
 		return err
 	}
--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"endiverill.example/kernel/clock"
@@ -70,9 +71,10 @@
 	messageNumber    uint64 // of the last state message
 	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
 	report           directory.Report
-	reachable        bool // the last request for a report succeeded
-	reportPending    bool // a request for a report is under way
-	restoreTried     bool // restoreModels has been called; accessed only by followConfiguration
+	reachable        bool      // the last request for a report succeeded
+	restUntil        time.Time // until then the target has asked for no calls
+	reportPending    bool      // a request for a report is under way
+	restoreTried     bool      // restoreModels has been called; accessed only by followConfiguration
 	prompts          *prompt.Tracker
 	unsentTokens     int                       // of prompts since the last state message
 	lastSent         time.Time                 // when the state was last sent
@@ -203,7 +205,7 @@
 		}
 		sidecar.send(to, &wire.CommandResult{ID: result.ID, Done: result.Done, Reason: result.Reason})
 	}
-	if sidecar.fence == 0 || sidecar.targetID == "" {
+	if sidecar.fence == 0 || sidecar.targetID == "" || sidecar.resting() {
 		return
 	}
 	order, ok := sidecar.controller.NextOrder(sidecar.options.Clock.Now())
@@ -226,6 +228,7 @@
 	sidecar.options.Metrics.Add("orders."+outcome.String(), 1)
 	if err != nil {
 		sidecar.log.Warnf("an order failed, its outcome may be unknown: %v", err)
+		sidecar.recordRest(err)
 	}
 	sidecar.log.Infof("order load %v model %q adapter %q at target %s, sequence %d fence %d: %s",
 		order.Load, order.Model, order.Adapter, order.Target, order.Sequence, order.Fence, outcome)
@@ -233,6 +236,23 @@
 	sidecar.requestReport(ctx)
 }
 
+// resting reports whether the target has asked for no calls now.
+func (sidecar *Sidecar) resting() bool {
+	return sidecar.options.Clock.Now().Before(sidecar.restUntil)
+}
+
+// recordRest records the rest that a target has asked for with a failed call, if any.
+func (sidecar *Sidecar) recordRest(err error) {
+	var restError *directory.RestError
+	if !errors.As(err, &restError) {
+		return
+	}
+	sidecar.options.Metrics.Add("targets.rests", 1)
+	if until := sidecar.options.Clock.Now().Add(restError.Rest()); until.After(sidecar.restUntil) {
+		sidecar.restUntil = until
+	}
+}
+
 // followConfiguration reads the configuration at the start, and again when
 // entries announce a newer version. The store's revision at the first valid
 // configuration becomes the fence of this agent's orders. This relies on revisions
@@ -314,7 +334,7 @@
 // requestReport requests a report from the target unless a request is pending.
 // After a restart of the target it also requests its new ID.
 func (sidecar *Sidecar) requestReport(ctx context.Context) {
-	if sidecar.reportPending {
+	if sidecar.reportPending || sidecar.resting() {
 		return
 	}
 	sidecar.reportPending = true
@@ -350,6 +370,7 @@
 		if sidecar.reachable {
 			sidecar.log.Warnf("lost the target: %v", err)
 		}
+		sidecar.recordRest(err)
 		sidecar.reachable = false
 		sidecar.controller.ReportsLost()
 		return
--- a/agent/sidecar/sidecar_test.go
+++ b/agent/sidecar/sidecar_test.go
@@ -74,12 +74,18 @@
 
 // startAgent runs an agent and returns an entry that has not subscribed yet.
 func startAgent(t *testing.T) *testSubscriber {
+	t.Helper()
+	return startAgentOf(t, idleEngine{})
+}
+
+// startAgentOf runs an agent of a target and returns an entry that has not subscribed yet.
+func startAgentOf(t *testing.T, engine directory.Engine) *testSubscriber {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	metrics := metric.New(fmt.Sprintf("%s-%d", t.Name(), time.Now().UnixNano()))
 	address := freeAddress(t)
 	agent := New(Options{
-		Name: "agent", Address: address, Target: "127.0.0.1:1", Engine: idleEngine{}, Source: unavailableSource{},
+		Name: "agent", Address: address, Target: "127.0.0.1:1", Engine: engine, Source: unavailableSource{},
 		Clock: clock.System{}, Logs: logs.Discard(), Metrics: metrics,
 	})
 	done := make(chan error, 2)
@@ -237,3 +243,28 @@
 		sidecar.controller.SetReport(sidecar.report)
 	}
 }
+
+// restingEngine asks for a rest whenever it is called.
+type restingEngine struct {
+	idleEngine
+	calls chan time.Time
+}
+
+const engineRest = 300 * time.Millisecond
+
+// Report asks for a rest.
+func (restingEngine *restingEngine) Report(context.Context) (directory.Report, error) {
+	restingEngine.calls <- time.Now()
+	return directory.Report{}, errors.Wrap(directory.NewRestError(engineRest), "report")
+}
+
+func TestTargetAtRestGetsCallsOfItsAgent(t *testing.T) {
+	engine := &restingEngine{calls: make(chan time.Time, 100)}
+	startAgentOf(t, engine)
+	last := <-engine.calls
+	for range 3 {
+		next := <-engine.calls
+		assert.Assert(t, next.Sub(last) >= engineRest, "called again after %v", next.Sub(last))
+		last = next
+	}
+}
--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
 	"storj.io/drpc"
 
 	"endiverill.example/kernel/code"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/route"
 	"endiverill.example/kernel/rpc"
 	"endiverill.example/kernel/wire"
@@ -100,6 +102,10 @@
 	switch err.Code() {
 	case code.EngineRefused, code.StreamCut, code.OutcomeUnknown:
 		attempt.replica.RecordFailure(attempt.entry.Clock().Now())
+	case code.TargetsResting:
+		attempt.entry.Metrics().Add("targets.rests", 1)
+		attempt.entry.log.Infof("target %s asks for a rest of %v, in response to request %q", attempt.replica.Name(), frame.RetryAfter, attempt.request.ID)
+		attempt.replica.Rest(attempt.entry.Clock().Now().Add(retry.Spread(frame.RetryAfter, rand.Float64())))
 	}
 	return err.WithRetryAfter(frame.RetryAfter)
 }
@@ -120,17 +126,20 @@
 }
 
 // pickReplica lets the routing policy choose a replica of a group, or fails with
-// code.NoReplica.
+// code.NoReplica, or code.TargetsResting.
 func (entry *Entry) pickReplica(current *snapshot, group string, request *route.Request) (*route.Replica, *code.Fault) {
 	candidates := current.groups[group]
 	if candidates == nil {
 		return nil, noReplica(group)
 	}
-	replica := entry.policy.Pick(request, candidates, entry.Clock().Now())
-	if replica == nil {
-		return nil, noReplica(group)
+	now := entry.Clock().Now()
+	if replica := entry.policy.Pick(request, candidates, now); replica != nil {
+		return replica, nil
+	}
+	if left := candidates.RestLeft(now); left > 0 {
+		return nil, code.New(code.TargetsResting, code.RanNo, "the targets that serve %s have asked for a rest", group).WithRetryAfter(retry.Spread(left, rand.Float64()))
 	}
-	return replica, nil
+	return nil, noReplica(group)
 }
 
 const unavailableRetryAfter = time.Second // suggested to callers while no target or no object API is available
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -11,6 +11,7 @@
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/retry"
 )
 
 // handle serves one request of a caller.
@@ -281,17 +282,7 @@
 	return defaultRetryAfter
 }
 
-// spreadRest lengthens a rest at random, so that callers and entries do not all come back
-// at its end.
-func spreadRest(rest time.Duration) time.Duration {
-	return rest + time.Duration(randomFraction()*float64(min(rest/restSpreadPart, maxRestSpread)))
-}
-
-const (
-	restSpreadPart        = 4 // a rest is lengthened by up to one of so many parts of it
-	maxRestSpread         = time.Second
-	minDeclinedRetryAfter = 100 * time.Millisecond // when another target would take the request now
-)
+const minDeclinedRetryAfter = 100 * time.Millisecond // when another target would take the request now
 
 // attemptResult is the result of one attempt. A relay together with a fault is
 // an error response of the target; another target may succeed.
@@ -380,7 +371,7 @@
 	case dispatch.NoSpare:
 		return code.New(code.RateExceeded, code.RanNo, "the customer is above its rate and no target is idle, the best one would begin after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
 	case dispatch.Resting:
-		return code.New(code.TargetsResting, code.RanNo, "each target that could take the request has asked for a rest").WithRetryAfter(spreadRest(refuse.RetryAfter))
+		return code.New(code.TargetsResting, code.RanNo, "each target that could take the request has asked for a rest").WithRetryAfter(retry.Spread(refuse.RetryAfter, randomFraction()))
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.RetryAfter)
 	case dispatch.TooLarge:
@@ -454,7 +445,7 @@
 func (gateway *Gateway) recordNotice(attempt *attempt, responseHead ResponseHead) {
 	key, now := attempt.target.Key(), gateway.clock.Now()
 	if responseHead.Rest > 0 {
-		until := now.Add(spreadRest(responseHead.Rest))
+		until := now.Add(retry.Spread(responseHead.Rest, randomFraction()))
 		gateway.mu.Lock()
 		gateway.dispatcher.RecordRest(key, until, now)
 		gateway.mu.Unlock()
--- a/kernel/directory/engine.go
+++ b/kernel/directory/engine.go
@@ -1,6 +1,10 @@
 package directory
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"time"
+)
 
 // Order asks an engine to load or unload a model or one of its adapters.
 type Order struct {
@@ -35,7 +39,23 @@
 	return "invalid"
 }
 
-// Engine is a client of a target that takes orders.
+// RestError reports that a target has turned a call away and asks its caller for no
+// further ones for some time.
+type RestError struct{ rest time.Duration }
+
+// NewRestError returns the error for a rest.
+func NewRestError(rest time.Duration) *RestError { return &RestError{rest: rest} }
+
+// Rest returns for how long the target asks for no calls.
+func (restError *RestError) Rest() time.Duration { return restError.rest }
+
+// Error describes the rest.
+func (restError *RestError) Error() string {
+	return fmt.Sprintf("the target asks for a rest of %v", restError.rest)
+}
+
+// Engine is a client of a target that takes orders. Its errors wrap a RestError if the
+// target asks for a rest; the user makes no calls meanwhile.
 type Engine interface {
 	// Report returns the target's report of itself. It leaves At and BusyFor to the
 	// caller.
--- a/kernel/route/group.go
+++ b/kernel/route/group.go
@@ -116,24 +116,36 @@
 }
 
 // Policy picks a replica of a group for a request. It picks an ejected replica
-// only if all that are not ejected were tried, and returns nil only if all replicas
-// were tried.
+// only if all that are not ejected were tried or are at rest, and returns nil only if
+// all replicas were tried or are at rest.
 type Policy interface {
 	Pick(request *Request, group *Group, now time.Time) *Replica
 }
 
-// usable reports whether the replica is neither tried nor ejected.
+// RestLeft returns how long the earliest rest among the group's replicas lasts, 0 if
+// none is at rest.
+func (group *Group) RestLeft(now time.Time) time.Duration {
+	earliest := time.Duration(0)
+	for _, replica := range group.replicas {
+		if left := replica.RestLeft(now); left > 0 && (earliest == 0 || left < earliest) {
+			earliest = left
+		}
+	}
+	return earliest
+}
+
+// usable reports whether the replica is neither tried, nor ejected, nor at rest.
 func usable(request *Request, replica *Replica, now time.Time) bool {
-	return !request.Tried.Has(replica) && !replica.Ejected(now)
+	return !request.Tried.Has(replica) && !replica.Ejected(now) && replica.RestLeft(now) == 0
 }
 
-// fallback returns the least loaded replica that was not tried. It ignores
-// ejection, so that a group whose replicas are all ejected still serves.
+// fallback returns the least loaded replica that was neither tried nor is at rest. It
+// ignores ejection, so that a group whose replicas are all ejected still serves.
 func fallback(request *Request, group *Group, now time.Time) *Replica {
 	var best *Replica
 	lowest := math.Inf(1)
 	for _, replica := range group.replicas {
-		if request.Tried.Has(replica) {
+		if request.Tried.Has(replica) || replica.RestLeft(now) > 0 {
 			continue
 		}
 		if load := replica.Load(now); load < lowest {
--- a/kernel/route/replica.go
+++ b/kernel/route/replica.go
@@ -33,6 +33,7 @@
 	otherRequests atomic.Int64 // requests of other entries, by the last report
 	failures      atomic.Int64 // consecutive
 	ejectedUntil  atomic.Int64 // nanoseconds after knownSince
+	restUntil     atomic.Int64 // nanoseconds after knownSince; until then the target has asked for no requests
 }
 
 // NewReplica returns a replica that runs up to slots requests at once and became
@@ -101,6 +102,24 @@
 	return replica.ejectedUntil.Load() > int64(now.Sub(replica.knownSince))
 }
 
+// Rest records that the target asked for no requests until the given time. A rest that
+// ends earlier does not shorten the one before.
+func (replica *Replica) Rest(until time.Time) {
+	end := int64(until.Sub(replica.knownSince))
+	for {
+		before := replica.restUntil.Load()
+		if end <= before || replica.restUntil.CompareAndSwap(before, end) {
+			return
+		}
+	}
+}
+
+// RestLeft returns how long the target has still asked for no requests, 0 if it takes
+// them.
+func (replica *Replica) RestLeft(now time.Time) time.Duration {
+	return max(time.Duration(replica.restUntil.Load())-now.Sub(replica.knownSince), 0)
+}
+
 // Load returns the number of requests per slot that the replica would have with
 // one more request. During slow start the load of a new replica is multiplied by
 // a factor that falls from slowStartMaxFactor to 1.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -36,6 +36,7 @@
 	CutAfter           int  `json:"cut_after"`   // ends each stream without [DONE] after this many tokens, and closes the connection of other completions without a response; 0 means never
 	Refuse             bool `json:"refuse"`      // answers completion requests with 503
 	DropOrderResponses bool `json:"lose_orders"` // executes orders, then closes the connection without a response
+	RestSeconds        int  `json:"rest"`        // with Refuse, sent in Retry-After; 0 for none
 }
 
 // Engine is one simulated engine.
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -75,6 +75,9 @@
 	job, status, message := engine.newJob(ctx)
 	if job == nil {
 		ctx.Error(message, status)
+		if rest := engine.restSeconds(); rest > 0 && status == fasthttp.StatusServiceUnavailable {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(rest))
+		}
 		return
 	}
 	if job.request.Stream {
@@ -86,6 +89,12 @@
 	engine.unary(job, ctx)
 }
 
+func (engine *Engine) restSeconds() int {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.faults.RestSeconds
+}
+
 // newJob parses a completion request, records it and marks its model as in use. It
 // returns nil with an HTTP status and an error message if the request is rejected.
 func (engine *Engine) newJob(ctx *fasthttp.RequestCtx) (*job, int, string) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	Delay              time.Duration `json:"delay"`      // delay before each response, in nanoseconds
 	DisconnectAfterRun bool          `json:"drop_after"` // runs the call, then closes the connection without a response
 	Frozen             bool          `json:"frozen"`     // runs the call and responds only after Frozen is cleared
+	RestSeconds        int           `json:"rest"`       // answers 503 with this Retry-After and does not run the call; 0 means never
 }
 
 // Service counts calls by the request ID in their Endiverill-Request-Id header.
@@ -100,13 +102,20 @@
 	}
 	id := string(ctx.Request.Header.Peek("Endiverill-Request-Id"))
 	service.mu.Lock()
-	service.runs[id]++
-	count := service.runs[id]
 	faults, unfrozen := service.faults, service.unfrozen
+	if faults.RestSeconds == 0 {
+		service.runs[id]++
+	}
+	count := service.runs[id]
 	if len(service.requests) < maxRecordedRequests {
 		service.requests = append(service.requests, ctx.Request.String())
 	}
 	service.mu.Unlock()
+	if faults.RestSeconds > 0 {
+		ctx.Error("the service takes no calls now", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(faults.RestSeconds))
+		return
+	}
 	time.Sleep(faults.Delay)
 	if faults.Frozen {
 		<-unfrozen
