Leave time for a second read of the list and the configuration

A cause that fits, not shown to be the one: an entry that has to read the list itself does so when its copy is 1.3 s old, over a pooled connection. If that has gone silent, as after a disruption of the store, the call fails after 1 s, and the next one may take another such connection. By then the copy is older than the bound.

Why this works: a read after one that succeeded gets no more than half of the time that is left until the bound, so that another one can succeed in time; where the store answers slowly, or has just failed, reads are not limited. The same for the configuration.

--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -100,6 +100,7 @@
 func (syncer *syncer) syncConfig(ctx context.Context) error {
 	cursor := directory.Cursor(0)
 	healthy := true
+	pace := newReadPace(syncer.gateway.options.ConfigBound, configMaxAgeFraction)
 	for ctx.Err() == nil {
 		if !syncer.leads() && !syncer.due(syncer.configFreshness) {
 			syncer.sleep(ctx, documentPollInterval)
@@ -110,7 +111,10 @@
 			wait = time.Duration(float64(syncer.gateway.options.ConfigBound) * configWatchFraction)
 		}
 		readStart := syncer.gateway.clock.Now()
-		document, next, err := syncer.source.Configuration(ctx, cursor, wait)
+		readCtx, cancel := pace.limit(ctx, healthy, wait)
+		document, next, err := syncer.source.Configuration(readCtx, cursor, wait)
+		cancel()
+		pace.record(err, syncer.gateway.clock.Now().Sub(readStart)-wait)
 		syncer.recordRead("configuration", syncer.configFreshness, &healthy, err)
 		if err != nil {
 			syncer.sleep(ctx, configRetryDelay)
@@ -176,6 +180,7 @@
 // syncTargets reads the list of targets whenever it is due, until ctx ends.
 func (syncer *syncer) syncTargets(ctx context.Context) error {
 	healthy := true
+	pace := newReadPace(syncer.gateway.options.DrainBound, listMaxAgeFraction)
 	for ctx.Err() == nil {
 		if !syncer.due(syncer.listFreshness) {
 			syncer.expireTargets()
@@ -183,7 +188,10 @@
 			continue
 		}
 		readStart := syncer.gateway.clock.Now()
-		document, at, err := syncer.source.Targets(ctx)
+		readCtx, cancel := pace.limit(ctx, healthy, 0)
+		document, at, err := syncer.source.Targets(readCtx)
+		cancel()
+		pace.record(err, syncer.gateway.clock.Now().Sub(readStart))
 		var listed []*directory.Target
 		skipped := 0
 		if err == nil {
