Keep rests in one type, and read the new log lines in reports

The time for which a target asks for no requests was kept four times in four ways; retry.Rest now serves the dispatcher, the product's policies, the agent's client and the agent beside a target. What targets ask for has a file of its own in the gateway.

--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,41 +39,33 @@
 // Retry-After, nothing is sent to it for so long, except cancellations; calls then fail
 // with ErrNotSent.
 type Client struct {
-	address   string
-	clock     clock.Clock
-	createdAt time.Time
-	restUntil atomic.Int64     // nanoseconds after createdAt
-	pooled    *fasthttp.Client // for calls that may be repeated on a new connection
-	unpooled  *fasthttp.Client // a new connection for each call
+	address  string
+	clock    clock.Clock
+	rest     retry.Rest
+	pooled   *fasthttp.Client // for calls that may be repeated on a new connection
+	unpooled *fasthttp.Client // a new connection for each call
 }
 
 // New returns a client of the target at address, HOST:PORT. A read that gets no
 // data for idleTimeout fails.
 func New(address string, idleTimeout time.Duration, clock clock.Clock) *Client {
 	return &Client{
-		address: address, clock: clock, createdAt: clock.Now(),
+		address: address, clock: clock,
 		pooled: newHTTPClient(idleTimeout, true), unpooled: newHTTPClient(idleTimeout, false),
 	}
 }
 
 // RestLeft returns how long the target has still asked for no requests, 0 if it takes
 // them.
-func (client *Client) RestLeft() time.Duration {
-	return max(time.Duration(client.restUntil.Load())-client.clock.Now().Sub(client.createdAt), 0)
-}
+func (client *Client) RestLeft() time.Duration { return client.rest.Left(client.clock.Now()) }
 
 // recordRest records the rest that a response asks for, if any.
 func (client *Client) recordRest(httpResponse *fasthttp.Response) {
 	if httpResponse.StatusCode() != fasthttp.StatusServiceUnavailable {
 		return
 	}
-	rest := retry.ParseAfter(string(httpResponse.Header.Peek(fasthttp.HeaderRetryAfter)))
-	end := int64(client.clock.Now().Add(rest).Sub(client.createdAt))
-	for {
-		before := client.restUntil.Load()
-		if rest == 0 || end <= before || client.restUntil.CompareAndSwap(before, end) {
-			return
-		}
+	if rest := retry.ParseAfter(string(httpResponse.Header.Peek(fasthttp.HeaderRetryAfter))); rest > 0 {
+		client.rest.Extend(client.clock.Now().Add(rest))
 	}
 }
 
--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"endiverill.example/kernel/metric"
 	"endiverill.example/kernel/orders"
 	"endiverill.example/kernel/prompt"
+	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
 
@@ -71,10 +72,10 @@
 	messageNumber    uint64 // of the last state message
 	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
 	report           directory.Report
-	reachable        bool      // the last request for a report succeeded
-	restUntil        time.Time // until then the target has asked for no calls
-	reportPending    bool      // a request for a report is under way
-	restoreTried     bool      // restoreModels has been called; accessed only by followConfiguration
+	reachable        bool // the last request for a report succeeded
+	rest             retry.Rest
+	reportPending    bool // a request for a report is under way
+	restoreTried     bool // restoreModels has been called; accessed only by followConfiguration
 	prompts          *prompt.Tracker
 	unsentTokens     int                       // of prompts since the last state message
 	lastSent         time.Time                 // when the state was last sent
@@ -238,7 +239,7 @@
 
 // resting reports whether the target has asked for no calls now.
 func (sidecar *Sidecar) resting() bool {
-	return sidecar.options.Clock.Now().Before(sidecar.restUntil)
+	return sidecar.rest.Left(sidecar.options.Clock.Now()) > 0
 }
 
 // recordRest records the rest that a target has asked for with a failed call, if any.
@@ -248,9 +249,7 @@
 		return
 	}
 	sidecar.options.Metrics.Add("targets.rests", 1)
-	if until := sidecar.options.Clock.Now().Add(restError.Rest()); until.After(sidecar.restUntil) {
-		sidecar.restUntil = until
-	}
+	sidecar.rest.Extend(sidecar.options.Clock.Now().Add(restError.Rest()))
 }
 
 // followConfiguration reads the configuration at the start, and again when
--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -105,7 +105,7 @@
 	case code.TargetsResting:
 		attempt.entry.Metrics().Add("targets.rests", 1)
 		attempt.entry.log.Infof("target %s asks for a rest of %v, in response to request %q", attempt.replica.Name(), frame.RetryAfter, attempt.request.ID)
-		attempt.replica.Rest(attempt.entry.Clock().Now().Add(retry.Spread(frame.RetryAfter, rand.Float64())))
+		attempt.replica.Rest().Extend(attempt.entry.Clock().Now().Add(retry.Spread(frame.RetryAfter, rand.Float64())))
 	}
 	return err.WithRetryAfter(frame.RetryAfter)
 }
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -61,7 +61,7 @@
 	lastData     time.Time        // when the target last sent data
 	longestPause time.Duration    // between two arrivals of data after the first event
 	framing      exchange.Framing // of the response, 0 before its header has been read
-	events       eventScanner     // of a stream
+	scanner      eventScanner     // of a body of events
 	ctx          context.Context
 	cancel       context.CancelFunc
 	outcome      dispatch.Outcome
@@ -146,9 +146,9 @@
 	if attempt.started {
 		first = attempt.firstEvent.Sub(attempt.sentAt).String()
 	}
-	attempt.call.gateway.log.Infof("request %q ended at target %s: %s after %v, first event after %s, longest pause %v, framed by %s, %d events and %d bytes of an unfinished one, estimated %v",
+	attempt.call.gateway.log.Infof("request %q ended at target %s: %s after %v, first event after %s, longest pause %v, estimated %v; framed by %s, %d events and %d bytes of an unfinished one",
 		attempt.call.head.ID, attempt.target.ID(), outcome, now.Sub(attempt.sentAt), first, attempt.longestPause,
-		attempt.framing, attempt.events.events, attempt.events.unfinished, attempt.estimate)
+		attempt.estimate, attempt.framing, attempt.scanner.events, attempt.scanner.unfinished)
 }
 
 // cancelStalled cancels the attempts that the dispatcher considers stalled: their
--- /dev/null
+++ b/entry/gateway/notice.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/retry"
+)
+
+// recordNotice records what a target asks of this instance in a response: a rest, or no
+// requests any more because it leaves.
+func (gateway *Gateway) recordNotice(attempt *attempt, responseHead ResponseHead) {
+	key, now := attempt.target.Key(), gateway.clock.Now()
+	if responseHead.Rest > 0 {
+		until := now.Add(retry.Spread(responseHead.Rest, randomFraction()))
+		gateway.mu.Lock()
+		gateway.dispatcher.RecordRest(key, until, now)
+		gateway.mu.Unlock()
+		gateway.metrics.Add("targets.rests", 1)
+		gateway.log.Infof("target %s asks for a rest of %v, kept for %v, in response to request %q, sends %d",
+			attempt.target.ID(), responseHead.Rest, until.Sub(now), attempt.call.head.ID, attempt.call.sends+1)
+	}
+	if !responseHead.Leaving {
+		return
+	}
+	gateway.mu.Lock()
+	first := gateway.dispatcher.RecordLeaving(key, now)
+	gateway.mu.Unlock()
+	if first {
+		gateway.metrics.Add("targets.leaving", 1)
+		gateway.log.Infof("target %s states that it leaves, in response to request %q", attempt.target.ID(), attempt.call.head.ID)
+	}
+}
+
+// usable reports whether the target still takes new requests.
+func (gateway *Gateway) usable(target *directory.Target) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
+}
+
+// declinedRetryAfter returns after how long a call that its last target has declined may
+// be served by another target.
+func (gateway *Gateway) declinedRetryAfter(call *call) time.Duration {
+	gateway.mu.Lock()
+	decision := gateway.dispatcher.Choose(&call.placement, call.tried, gateway.clock.Now())
+	gateway.mu.Unlock()
+	switch decision := decision.(type) {
+	case dispatch.Send, dispatch.LoadAdapter:
+		return minDeclinedRetryAfter
+	case dispatch.Refuse:
+		if decision.Reason != dispatch.NoTarget {
+			return refusalFault(decision).RetryAfter()
+		}
+	}
+	return defaultRetryAfter
+}
+
+const minDeclinedRetryAfter = 100 * time.Millisecond // when another target would take the request now
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -30,26 +30,26 @@
 // Resumable events are passed on when they are complete, so that their stream can
 // continue at another target when it is broken off.
 type relay struct {
-	call      *call
-	attempt   *attempt
-	header    fasthttp.ResponseHeader
-	body      []byte             // complete body, nil for a stream
-	response  *exchange.Response // nil when the body is complete
-	events    bool               // the body consists of server-sent events
-	resumable bool               // the events may continue at another target
-	pending   []byte             // data that may be passed on
-	partial   []byte             // incomplete resumable event, held back
-	lastID    string             // ID of the last complete resumable event, at first of the last one that the caller has
-	readErr   error              // from the last read of the response, not acted on yet
-	finished  bool               // the target's stream has been read to its end
-	buffer    []byte
+	call        *call
+	attempt     *attempt
+	header      fasthttp.ResponseHeader
+	body        []byte             // complete body, nil for a stream
+	response    *exchange.Response // nil when the body is complete
+	eventStream bool               // the body consists of server-sent events
+	resumable   bool               // the events may continue at another target
+	pending     []byte             // data that may be passed on
+	partial     []byte             // incomplete resumable event, held back
+	lastID      string             // ID of the last complete resumable event, at first of the last one that the caller has
+	readErr     error              // from the last read of the response, not acted on yet
+	finished    bool               // the target's stream has been read to its end
+	buffer      []byte
 }
 
 func newCompleteRelay(response *exchange.Response, body []byte, attempt *attempt) *relay {
 	relay := &relay{call: attempt.call, attempt: attempt, body: body}
 	response.Header.CopyTo(&relay.header)
-	relay.events = isEventStream(&relay.header)
-	attempt.events.scan(body)
+	relay.eventStream = isEventStream(&relay.header)
+	attempt.scanner.scan(body)
 	return relay
 }
 
@@ -59,11 +59,11 @@
 		lastID: attempt.call.head.LastEvent, buffer: make([]byte, streamBufferBytes),
 	}
 	response.Header.CopyTo(&relay.header)
-	relay.events = isEventStream(&relay.header)
+	relay.eventStream = isEventStream(&relay.header)
 	if len(relay.header.ContentType()) == 0 && relay.header.StatusCode() < fasthttp.StatusMultipleChoices {
-		relay.events = true
+		relay.eventStream = true
 	}
-	relay.resumable = relay.events && attempt.call.route.Resumable()
+	relay.resumable = relay.eventStream && attempt.call.route.Resumable()
 	return relay
 }
 
@@ -135,17 +135,17 @@
 // that it is incomplete. A response that states neither length nor chunks and breaks
 // between two events cannot be told from a complete one.
 func (relay *relay) brokenOff() bool {
-	if !relay.events {
+	if !relay.eventStream {
 		return false
 	}
-	scanner := relay.attempt.events
+	scanner := relay.attempt.scanner
 	neverBegan := scanner.events == 0 && relay.lastID == "" && relay.attempt.framing == exchange.FramedByClose
 	return scanner.unfinished > 0 || neverBegan
 }
 
 // take moves received data to pending; of resumable events, complete ones only.
 func (relay *relay) take(data []byte) error {
-	complete := relay.attempt.events.scan(data)
+	complete := relay.attempt.scanner.scan(data)
 	if !relay.resumable {
 		relay.pending = append(relay.pending[:0], data...)
 		return nil
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -34,7 +34,7 @@
 func (dispatcher *Dispatcher) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
 	best := candidate{}
 	holders, fitting := 0, 0
-	restsUntil := time.Time{} // the earliest end of the rests, zero if no target is at rest
+	shortestRest := time.Duration(0) // of the targets at rest, 0 if there is none
 	candidates := dispatcher.candidates(request.Service, request.Model)
 	preferred := dispatcher.preferredTarget(candidates, request)
 	first := dispatcher.firstEvaluated(len(candidates))
@@ -43,9 +43,9 @@
 		if replica.leaving() {
 			continue
 		}
-		if replica.resting(now) {
-			if end := replica.notice.restUntil; restsUntil.IsZero() || end.Before(restsUntil) {
-				restsUntil = end
+		if left := replica.restLeft(now); left > 0 {
+			if shortestRest == 0 || left < shortestRest {
+				shortestRest = left
 			}
 			continue
 		}
@@ -68,8 +68,8 @@
 		return best.admit(request, now)
 	case holders > 0:
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
-	case !restsUntil.IsZero():
-		return Refuse{Reason: Resting, RetryAfter: restsUntil.Sub(now)}
+	case shortestRest > 0:
+		return Refuse{Reason: Resting, RetryAfter: shortestRest}
 	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -146,7 +146,7 @@
 // Usable reports whether requests may be sent to the target.
 func (dispatcher *Dispatcher) Usable(key directory.TargetKey, now time.Time) bool {
 	replica := dispatcher.replicas[key]
-	return replica != nil && !replica.leaving() && !replica.resting(now)
+	return replica != nil && !replica.leaving() && replica.restLeft(now) == 0
 }
 
 // RecordSent records that a request was sent to a target. It returns the number that
--- a/kernel/dispatch/notice.go
+++ b/kernel/dispatch/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/retry"
 )
 
 // noticeTTL is how long a notice is kept after the target was last listed or the rest
@@ -13,17 +14,18 @@
 // notice is what a target has asked of this instance in its answers. It holds for one
 // incarnation of the target and outlasts the target's place in the list.
 type notice struct {
-	restUntil time.Time // until then, this instance sends nothing
-	leaving   bool      // this instance sends nothing any more
-	expires   time.Time // when it can be dropped if the target is not listed
+	rest    retry.Rest
+	leaving bool      // this instance sends nothing any more
+	expires time.Time // when it can be dropped if the target is not listed
 }
 
 // RecordRest records that a target asked for no further requests of this instance until
 // the given time. A rest that ends earlier does not shorten the one before.
 func (dispatcher *Dispatcher) RecordRest(key directory.TargetKey, until, now time.Time) {
 	notice := dispatcher.notice(key, now)
-	if until.After(notice.restUntil) {
-		notice.restUntil, notice.expires = until, until.Add(noticeTTL)
+	notice.rest.Extend(until)
+	if expires := until.Add(noticeTTL); expires.After(notice.expires) {
+		notice.expires = expires
 	}
 }
 
@@ -32,7 +34,10 @@
 func (dispatcher *Dispatcher) RecordLeaving(key directory.TargetKey, now time.Time) bool {
 	notice := dispatcher.notice(key, now)
 	known := notice.leaving
-	notice.leaving, notice.expires = true, now.Add(noticeTTL)
+	notice.leaving = true
+	if expires := now.Add(noticeTTL); expires.After(notice.expires) {
+		notice.expires = expires
+	}
 	return !known
 }
 
@@ -55,7 +60,11 @@
 	return added
 }
 
-// resting reports whether the target has asked this instance for no requests now.
-func (replica *replica) resting(now time.Time) bool {
-	return replica.notice != nil && now.Before(replica.notice.restUntil)
+// restLeft returns how long the target has still asked this instance for no requests, 0
+// if it takes them.
+func (replica *replica) restLeft(now time.Time) time.Duration {
+	if replica.notice == nil {
+		return 0
+	}
+	return replica.notice.rest.Left(now)
 }
--- a/kernel/route/group.go
+++ b/kernel/route/group.go
@@ -127,7 +127,7 @@
 func (group *Group) RestLeft(now time.Time) time.Duration {
 	earliest := time.Duration(0)
 	for _, replica := range group.replicas {
-		if left := replica.RestLeft(now); left > 0 && (earliest == 0 || left < earliest) {
+		if left := replica.rest.Left(now); left > 0 && (earliest == 0 || left < earliest) {
 			earliest = left
 		}
 	}
@@ -136,7 +136,7 @@
 
 // usable reports whether the replica is neither tried, nor ejected, nor at rest.
 func usable(request *Request, replica *Replica, now time.Time) bool {
-	return !request.Tried.Has(replica) && !replica.Ejected(now) && replica.RestLeft(now) == 0
+	return !request.Tried.Has(replica) && !replica.Ejected(now) && replica.rest.Left(now) == 0
 }
 
 // fallback returns the least loaded replica that was neither tried nor is at rest. It
@@ -145,7 +145,7 @@
 	var best *Replica
 	lowest := math.Inf(1)
 	for _, replica := range group.replicas {
-		if request.Tried.Has(replica) || replica.RestLeft(now) > 0 {
+		if request.Tried.Has(replica) || replica.rest.Left(now) > 0 {
 			continue
 		}
 		if load := replica.Load(now); load < lowest {
--- a/kernel/route/replica.go
+++ b/kernel/route/replica.go
@@ -9,6 +9,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"endiverill.example/kernel/retry"
 )
 
 const (
@@ -33,7 +35,7 @@
 	otherRequests atomic.Int64 // requests of other entries, by the last report
 	failures      atomic.Int64 // consecutive
 	ejectedUntil  atomic.Int64 // nanoseconds after knownSince
-	restUntil     atomic.Int64 // nanoseconds after knownSince; until then the target has asked for no requests
+	rest          retry.Rest
 }
 
 // NewReplica returns a replica that runs up to slots requests at once and became
@@ -102,23 +104,8 @@
 	return replica.ejectedUntil.Load() > int64(now.Sub(replica.knownSince))
 }
 
-// Rest records that the target asked for no requests until the given time. A rest that
-// ends earlier does not shorten the one before.
-func (replica *Replica) Rest(until time.Time) {
-	end := int64(until.Sub(replica.knownSince))
-	for {
-		before := replica.restUntil.Load()
-		if end <= before || replica.restUntil.CompareAndSwap(before, end) {
-			return
-		}
-	}
-}
-
-// RestLeft returns how long the target has still asked for no requests, 0 if it takes
-// them.
-func (replica *Replica) RestLeft(now time.Time) time.Duration {
-	return max(time.Duration(replica.restUntil.Load())-now.Sub(replica.knownSince), 0)
-}
+// Rest returns the time for which the target has asked for no requests.
+func (replica *Replica) Rest() *retry.Rest { return &replica.rest }
 
 // Load returns the number of requests per slot that the replica would have with
 // one more request. During slow start the load of a new replica is multiplied by
--- a/kernel/route/rest_test.go
+++ b/kernel/route/rest_test.go
@@ -15,8 +15,8 @@
 			group, now := groupOf(8), time.Unix(1000, 0)
 			free := group.Replicas()[7]
 			for _, replica := range group.Replicas()[:7] {
-				replica.Rest(now.Add(3 * time.Second))
-				replica.Rest(now.Add(time.Second))
+				replica.Rest().Extend(now.Add(3 * time.Second))
+				replica.Rest().Extend(now.Add(time.Second))
 			}
 			later := now.Add(2 * time.Second)
 			for index := range uint64(50) {
@@ -36,7 +36,7 @@
 	now := time.Unix(1000, 0)
 	replica := groupOf(1).Replicas()[0]
 	for range 2 * failuresBeforeEjection {
-		replica.Rest(now.Add(time.Second))
+		replica.Rest().Extend(now.Add(time.Second))
 	}
 	assert.Assert(t, !replica.Ejected(now))
 }
