--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"endiverill.example/agent/internal/engine"
 	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/instance"
 	"endiverill.example/kernel/intent"
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/memory"
 	"endiverill.example/kernel/placement"
+	"endiverill.example/kernel/wire"
 )
 
 // newIdleAgent returns an agent of which only the control loop runs.
@@ -56,3 +62,36 @@
 	})
 	assert.Assert(t, kept, "forgotten 5 s before its latest start")
 }
+
+func TestQueuedRequestsWaitForTheirTurnAtTargetAtRest(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Retry-After", "60")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer target.Close()
+	agent := newIdleAgent(t)
+	agent.client = engine.New(strings.TrimPrefix(target.URL, "http://"), time.Second, clock.System{})
+	agent.slots.Store(0)
+	refused := make(chan *code.Fault, 2)
+	for range 2 {
+		go func() {
+			refused <- agent.enqueue(context.Background(), &wire.Request{Customer: "c", Weight: 1, Timeout: time.Minute}, agent.Clock().Now())
+		}()
+	}
+	queued := func() (count int) {
+		agent.Control().Do(func() { count = agent.state.queue.Len() })
+		return count
+	}
+	for queued() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := agent.client.Call(&wire.Request{Method: http.MethodGet, Path: "/x"}, true)
+	assert.NilError(t, err)
+	agent.Control().Do(agent.grantSlots)
+	for range 2 {
+		fault := <-refused
+		assert.Equal(t, fault.Code(), code.TargetsResting)
+		assert.Equal(t, fault.Ran(), code.RanNo)
+		assert.Assert(t, fault.RetryAfter() > 50*time.Second)
+	}
+}
--- a/agent/sidecar/sidecar_test.go
+++ b/agent/sidecar/sidecar_test.go
@@ -268,3 +268,16 @@
 		last = next
 	}
 }
+
+func TestTargetAtRestGetsOrders(t *testing.T) {
+	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
+	sidecar.fence = 1
+	sidecar.controller.SetService(testService())
+	sidecar.handleReport(directory.Report{At: fake.Now(), StartedAt: 7}, "i-1", nil)
+	plan := orders.Plan{ID: 1, From: "10.0.0.9:1", Fence: 1, Load: "m", StartBy: fake.Now().Add(time.Second)}
+	assert.Assert(t, sidecar.controller.AcceptPlan(plan, fake.Now()))
+	sidecar.recordRest(directory.NewRestError(engineRest))
+	sidecar.advance(context.Background())
+	_, due := sidecar.controller.NextOrder(fake.Now())
+	assert.Assert(t, due, "the order was taken and given")
+}
