--- a/kernel/retry/after_test.go
+++ b/kernel/retry/after_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/proptest"
 )
 
 func TestParseAfterRefusesWhatIsNoWait(t *testing.T) {
@@ -17,6 +19,16 @@
 	}
 }
 
+func TestStepOfWallClockEndsRest(t *testing.T) {
+	now := time.Now()
+	for _, step := range []time.Duration{time.Minute, -time.Minute} {
+		var rest Rest
+		rest.Extend(now.Add(3 * time.Second))
+		assert.Equal(t, rest.Left(proptest.StepWallClock(now.Add(time.Second), step)), 2*time.Second)
+		assert.Equal(t, rest.Left(proptest.StepWallClock(now.Add(3*time.Second), step)), time.Duration(0))
+	}
+}
+
 func ExampleSpread() {
 	fmt.Println(Spread(2*time.Second, 0), Spread(2*time.Second, 0.5), Spread(time.Minute, 1))
 	// Output: 2s 2.25s 1m1s
