--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -133,7 +133,7 @@
 
 // brokenOff reports whether the bytes of a response that has been read to its end show
 // that it is incomplete. A response that states neither length nor chunks and breaks
-// between two events cannot be told from a complete one.
+// between two events cannot be distinguished from a complete one.
 func (relay *relay) brokenOff() bool {
 	if !relay.eventStream {
 		return false
--- a/kernel/proptest/answer.go
+++ b/kernel/proptest/answer.go
@@ -81,7 +81,7 @@
 	return answer.sent == len(answer.head)+len(answer.framed) && !answer.reset
 }
 
-// MayEndAfter reports whether a receiver cannot tell from the bytes alone that the body is
+// MayEndAfter reports whether the bytes alone do not show a receiver that the body is
 // longer than received: the answer states neither a length nor chunks, and its connection
 // closed in order right after them.
 func (answer Answer) MayEndAfter(received string) bool {
