Tell callers of declined requests to return after 500 ms again

The mend of the rests told a caller whose last target had declined to come back after 100 ms if another target would take the request. Targets that decline are full; who comes back at once is refused again. While all targets rest, the time until the first is back stays.

--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -40,21 +40,14 @@
 	return gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
 }
 
-// declinedRetryAfter returns after how long a call that its last target has declined may
-// be served by another target.
+// declinedRetryAfter returns after how long a call that its last target has declined should
+// be sent again: when a target is back, if all are at rest.
 func (gateway *Gateway) declinedRetryAfter(call *call) time.Duration {
 	gateway.mu.Lock()
 	decision := gateway.dispatcher.Choose(&call.placement, call.tried, gateway.clock.Now())
 	gateway.mu.Unlock()
-	switch decision := decision.(type) {
-	case dispatch.Send, dispatch.LoadAdapter:
-		return minDeclinedRetryAfter
-	case dispatch.Refuse:
-		if decision.Reason != dispatch.NoTarget {
-			return refusalFault(decision).RetryAfter()
-		}
+	if refuse, ok := decision.(dispatch.Refuse); ok && refuse.Reason == dispatch.Resting {
+		return refusalFault(refuse).RetryAfter()
 	}
 	return defaultRetryAfter
 }
-
-const minDeclinedRetryAfter = 100 * time.Millisecond // when another target would take the request now
