--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -383,6 +383,9 @@
 	if !sidecar.reachable {
 		sidecar.log.Infof("regained the target")
 	}
+	if report.Limited != sidecar.report.Limited || report.Limit != sidecar.report.Limit {
+		sidecar.log.Infof("target %s names a limit with its report: %v, of %v requests a second", sidecar.targetID, report.Limited, report.Limit)
+	}
 	changed := !sidecar.reachable || report.Busy != sidecar.report.Busy || report.Draining != sidecar.report.Draining ||
 		report.Sequence != sidecar.report.Sequence || !reflect.DeepEqual(report.Models, sidecar.report.Models) ||
 		!slices.Equal(report.LoadingAdapters, sidecar.report.LoadingAdapters)
--- a/entry/gateway/headercodec.go
+++ b/entry/gateway/headercodec.go
@@ -47,6 +47,8 @@
 	Misdirected bool          // the target is another incarnation or does not hold the model
 	Rest        time.Duration // for which the target, which has turned the request away, asks this instance for no further ones; 0 for none
 	Leaving     bool          // the target states that it leaves
+	Limited     bool          // the target states a limit
+	Limit       float64       // requests a second that the target takes from all entries together, if Limited
 }
 
 // HeaderCodec reads and writes the HTTP headers of a platform. An implementation
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -21,6 +21,7 @@
 		gateway.log.Infof("target %s asks for a rest of %v, kept for %v, in response to request %q, sends %d",
 			attempt.target.ID(), responseHead.Rest, until.Sub(now), attempt.call.head.ID, attempt.call.sends+1)
 	}
+	gateway.recordLimit(attempt, responseHead)
 	if !responseHead.Leaving {
 		return
 	}
@@ -33,6 +34,29 @@
 	}
 }
 
+// recordLimit logs the limit that a target names in a response, or that it names none any
+// more.
+func (gateway *Gateway) recordLimit(attempt *attempt, responseHead ResponseHead) {
+	key := attempt.target.Key()
+	gateway.mu.Lock()
+	before, known := gateway.namedLimits[key]
+	if responseHead.Limited {
+		gateway.namedLimits[key] = responseHead.Limit
+	} else {
+		delete(gateway.namedLimits, key)
+	}
+	gateway.mu.Unlock()
+	switch {
+	case responseHead.Limited:
+		gateway.metrics.Add("targets.limits", 1)
+		gateway.log.Infof("target %s names a limit of %v requests a second in response to request %q after %v, not run %v, sends %d",
+			attempt.target.ID(), responseHead.Limit, attempt.call.head.ID, gateway.clock.Now().Sub(attempt.sentAt), responseHead.NotRun, attempt.call.sends+1)
+	case known:
+		gateway.log.Infof("target %s names no limit any more, after %v, in response to request %q after %v, not run %v",
+			attempt.target.ID(), before, attempt.call.head.ID, gateway.clock.Now().Sub(attempt.sentAt), responseHead.NotRun)
+	}
+}
+
 // usable reports whether the target still takes new requests.
 func (gateway *Gateway) usable(target *directory.Target) bool {
 	gateway.mu.Lock()
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -102,6 +102,8 @@
 	StartedAt       int64    // start time in Unix milliseconds
 	Runs            []Run    // running requests; only in a report from the target itself
 	Unread          []int    // prompt tokens that the target has yet to read, by urgency; nil if unknown
+	Limited         bool     // the target named a limit with the report; only in a report from the target itself
+	Limit           float64  // requests a second, if Limited
 }
 
 // Run is a running request.
