--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -93,7 +93,7 @@
 	limiter       *ratelimit.Limiter
 	quarantine    *quarantine.Quarantine
 	namedLimits   map[directory.TargetKey]float64 // requests a second, of targets whose last response named a limit
-	endChecks     *endChecks // has a lock of its own
+	endChecks     *endChecks                      // has a lock of its own
 }
 
 // New returns a gateway that does not serve until Run.
