Keep requests to a target within the limit that it names, over all entries

Cause: nothing read Server-Limit. It is a limit on all entries together, so that reading it at each entry alone would send as many times the limit as there are entries.

Change: each entry keeps the latest word of each incarnation of a target, and tells the others within one round of messages. A request to a limited target needs a permit of the one issuer of that target: its agent or, for a target without one, the entry that holds the planning lease. A new issuer starts with a pause, so that a handover adds at most one request. A permit may lie up to a second ahead, if the deadline bears it. Without any, the target is left out like one at rest; if no other takes the request, it is refused at once with the time of the next permit (code 1413). While nobody holds the lease, small fleets use even shares. A limit ends with an answer without it, to a request sent after the last answer that named it.

--- a/agent/sidecar/sidecar.go
+++ b/agent/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"endiverill.example/kernel/loop"
 	"endiverill.example/kernel/metric"
 	"endiverill.example/kernel/orders"
+	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/prompt"
 	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
@@ -74,8 +75,9 @@
 	report           directory.Report
 	reachable        bool // the last request for a report succeeded
 	rest             retry.Rest
-	reportPending    bool // a request for a report is under way
-	restoreTried     bool // restoreModels has been called; accessed only by followConfiguration
+	permits          *permit.Issuer // for requests to the target, if it is limited
+	reportPending    bool           // a request for a report is under way
+	restoreTried     bool           // restoreModels has been called; accessed only by followConfiguration
 	prompts          *prompt.Tracker
 	unsentTokens     int                       // of prompts since the last state message
 	lastSent         time.Time                 // when the state was last sent
@@ -90,6 +92,7 @@
 	return &Sidecar{
 		options: options, log: options.Logs.Component("agent", options.Name), control: loop.New(),
 		controller: orders.New(), prompts: prompt.New(), subscribers: map[netip.AddrPort]*subscriber{},
+		permits: permit.NewIssuer(),
 	}
 }
 
@@ -136,10 +139,25 @@
 	case *wire.SentPrompt:
 		sidecar.handleSentPrompt(message, now)
 		return
+	case *wire.PermitRequest:
+		sidecar.handlePermitRequest(from, message, now)
+		return
 	}
 	sidecar.advance(ctx)
 }
 
+// handlePermitRequest grants an entry a permit for a request to the target, unless it names
+// another incarnation.
+func (sidecar *Sidecar) handlePermitRequest(from netip.AddrPort, request *wire.PermitRequest, now time.Time) {
+	result := &wire.CommandResult{ID: request.ID, Reason: "the request is meant for another start of the target"}
+	if request.Target == sidecar.targetID && request.StartedAt == sidecar.targetStartedAt {
+		key := directory.TargetKey{ID: request.Target, StartedAt: request.StartedAt}
+		result.Done, result.RetryAfter = sidecar.permits.Take(key, request.PerSecond, request.MaxWait, now)
+		result.Reason = ""
+	}
+	sidecar.send(from, result)
+}
+
 // subscriber is an entry that is subscribed to the target's state.
 type subscriber struct {
 	renewed          time.Time // when the entry last subscribed
--- a/agent/sidecar/sidecar_test.go
+++ b/agent/sidecar/sidecar_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 	socket *datagram.Socket
 	agent  netip.AddrPort
 	states chan *wire.TargetState
+	grants atomic.Int64 // granted permits
 }
 
 // freeAddress returns an address HOST:PORT whose UDP port is free at the time of the
@@ -95,8 +97,13 @@
 	subscriber := &testSubscriber{t: t, socket: socket, agent: netip.MustParseAddrPort(address), states: make(chan *wire.TargetState, 1000)}
 	go func() {
 		done <- socket.Receive(ctx, func(_ netip.AddrPort, message wire.Message) {
-			if state, ok := message.(*wire.TargetState); ok {
-				subscriber.states <- state
+			switch message := message.(type) {
+			case *wire.TargetState:
+				subscriber.states <- message
+			case *wire.CommandResult:
+				if message.Done {
+					subscriber.grants.Add(1)
+				}
 			}
 		})
 	}()
@@ -152,6 +159,23 @@
 	assert.Assert(t, again != nil && again.InventoryVersion == first.InventoryVersion, "expected the full state again after the entry has lost it")
 }
 
+func TestAgentGrantsMorePermitsThanTheLimitAllows(t *testing.T) {
+	t.Parallel()
+	subscriber := startAgent(t)
+	const perSecond, lasts = 5, 2 * time.Second
+	begun := time.Now()
+	for number := uint64(1); time.Since(begun) < lasts; number += 2 {
+		own := &wire.PermitRequest{ID: number, Target: "i-1", StartedAt: 7, PerSecond: perSecond}
+		other := &wire.PermitRequest{ID: number + 1, Target: "i-0", StartedAt: 7, PerSecond: perSecond}
+		for _, request := range []*wire.PermitRequest{own, other} {
+			assert.NilError(t, subscriber.socket.Send(subscriber.agent, request))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	granted, allowed := subscriber.grants.Load(), int64(perSecond*lasts.Seconds())+2
+	assert.Assert(t, granted <= allowed && granted >= allowed/2, "%d permits in %v, allowed are %d", granted, lasts, allowed)
+}
+
 // newIdleSidecar returns a sidecar that does not run, so that a test can drive it in its
 // own goroutine.
 func newIdleSidecar(t *testing.T, now time.Time) (*Sidecar, *clock.Fake) {
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -34,6 +34,7 @@
 	version    uint64            // of the configuration by which the call was admitted
 	estimate   dispatch.Estimate // for the target that was chosen last
 	suspects   []quarantine.Part // shared parts of the prompt
+	permit     heldPermit        // for the next request to a limited target
 }
 
 // String returns what the call asks for, as it stands in log lines.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -92,8 +92,7 @@
 	attempts      map[uint64]*attempt // attempts that have not ended
 	limiter       *ratelimit.Limiter
 	quarantine    *quarantine.Quarantine
-	namedLimits   map[directory.TargetKey]float64 // requests a second, of targets whose last response named a limit
-	endChecks     *endChecks                      // has a lock of its own
+	endChecks     *endChecks // has a lock of its own
 }
 
 // New returns a gateway that does not serve until Run.
@@ -111,7 +110,6 @@
 		limiter:     ratelimit.New(options.RateWindow, stateInterval),
 		retries:     retry.NewBudget(options.Retries, options.Clock.Now()),
 		quarantine:  quarantine.New(),
-		namedLimits: map[directory.TargetKey]float64{},
 		endChecks:   newEndChecks(),
 	}
 	gateway.draining, gateway.startDraining = context.WithCancel(context.Background())
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -34,26 +34,28 @@
 	}
 }
 
-// recordLimit logs the limit that a target names in a response, or that it names none any
-// more.
+// recordLimit records the limit that a target names in a response, or that it names none any
+// more. A refusal without a limit says nothing: the target may not have read the request.
 func (gateway *Gateway) recordLimit(attempt *attempt, responseHead ResponseHead) {
-	key := attempt.target.Key()
+	key, now := attempt.target.Key(), gateway.clock.Now()
+	changed := false
 	gateway.mu.Lock()
-	before, known := gateway.namedLimits[key]
 	if responseHead.Limited {
-		gateway.namedLimits[key] = responseHead.Limit
-	} else {
-		delete(gateway.namedLimits, key)
+		changed = gateway.dispatcher.RecordLimit(key, responseHead.Limit, now)
+	} else if responseHead.Sealed && !responseHead.NotRun {
+		changed = gateway.dispatcher.RecordNoLimit(key, attempt.sentAt)
 	}
 	gateway.mu.Unlock()
-	switch {
-	case responseHead.Limited:
+	if responseHead.Limited {
 		gateway.metrics.Add("targets.limits", 1)
 		gateway.log.Infof("target %s names a limit of %v requests a second in response to request %q after %v, not run %v, sends %d",
-			attempt.target.ID(), responseHead.Limit, attempt.call.head.ID, gateway.clock.Now().Sub(attempt.sentAt), responseHead.NotRun, attempt.call.sends+1)
-	case known:
-		gateway.log.Infof("target %s names no limit any more, after %v, in response to request %q after %v, not run %v",
-			attempt.target.ID(), before, attempt.call.head.ID, gateway.clock.Now().Sub(attempt.sentAt), responseHead.NotRun)
+			attempt.target.ID(), responseHead.Limit, attempt.call.head.ID, now.Sub(attempt.sentAt), responseHead.NotRun, attempt.call.sends+1)
+	} else if changed {
+		gateway.log.Infof("target %s names no limit any more in response to request %q after %v", attempt.target.ID(), attempt.call.head.ID, now.Sub(attempt.sentAt))
+	}
+	if changed {
+		gateway.peers.sendSoon()
+		gateway.changed.broadcast()
 	}
 }
 
@@ -70,7 +72,7 @@
 	gateway.mu.Lock()
 	decision := gateway.dispatcher.Choose(&call.placement, call.tried, gateway.clock.Now())
 	gateway.mu.Unlock()
-	if refuse, ok := decision.(dispatch.Refuse); ok && refuse.Reason == dispatch.Resting {
+	if refuse, ok := decision.(dispatch.Refuse); ok && (refuse.Reason == dispatch.Resting || refuse.Reason == dispatch.Limited) {
 		return refusalFault(refuse).RetryAfter()
 	}
 	return defaultRetryAfter
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -14,6 +14,7 @@
 	"endiverill.example/kernel/datagram"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/ratelimit"
 	"endiverill.example/kernel/wire"
 )
@@ -49,6 +50,8 @@
 	agentStates        map[directory.TargetKey]agentState               // last messages of agents
 	demand             map[string]float64                               // demand by model since the start of the process, in prompt tokens
 	peerStates         map[netip.AddrPort]peerState                     // last messages of entries
+	plannerSeen        time.Time                                        // when a message of an entry that plans last arrived, or the start of this one
+	ownShare           *permit.Issuer                                   // of the share of permits of this entry
 }
 
 // agentState is an agent's last message and its time of arrival.
@@ -77,6 +80,8 @@
 		agentStates:  map[directory.TargetKey]agentState{},
 		demand:       map[string]float64{},
 		peerStates:   map[netip.AddrPort]peerState{},
+		plannerSeen:  gateway.clock.Now(),
+		ownShare:     permit.NewShareIssuer(),
 	}
 }
 
@@ -184,6 +189,7 @@
 	}
 	setReport(state, gateway.limiter.Report(now))
 	state.Suspects = gateway.evidence(now)
+	state.Limits = gateway.limitReports(now)
 	return state
 }
 
@@ -279,7 +285,7 @@
 // their own state to this entry. The message state is modified. The caller must
 // hold mu.
 func (peers *peers) subscribe(state *wire.EntryState) {
-	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects = nil, nil, nil, nil, nil, nil, nil
+	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects, state.Limits = nil, nil, nil, nil, nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endiverill.example/kernel/lease"
+	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/residency"
 	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
@@ -34,6 +35,7 @@
 	lease     *lease.Lease
 	planner   *residency.Planner
 	reserve   *retry.Reserve // of retries, for all entries
+	permits   *permit.Issuer // for requests to limited targets without an agent, for all entries
 	acquired  time.Time      // when this entry acquired the lease
 	heldFence uint64         // fencing number of the lease, 0 while it is not held
 }
@@ -49,6 +51,7 @@
 		}),
 		planner: residency.New(gateway.options.LoadWindow),
 		reserve: retry.NewReserve(gateway.options.Retries),
+		permits: permit.NewIssuer(),
 	}
 	planRunner.driver = lease.Driver{
 		Store: gateway.options.Store, Key: gateway.options.LeaseKey, Timeout: leaseTimeout,
@@ -126,6 +129,7 @@
 	case held && fence != planRunner.heldFence:
 		planRunner.heldFence, planRunner.acquired = fence, now
 		planRunner.reserve.Open(fence, now)
+		planRunner.permits = permit.NewIssuer()
 		planRunner.gateway.log.Infof("plans for the fleet with fence %d", fence)
 	case !held && planRunner.heldFence != 0:
 		planRunner.gateway.log.Infof("no longer plans for the fleet, fence %d", planRunner.heldFence)
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -17,6 +17,8 @@
 		peers.receiveTarget(from, message)
 	case *wire.RetryRequest:
 		peers.answerRetryRequest(from, message)
+	case *wire.PermitRequest:
+		peers.answerPermitRequest(from, message)
 	case *wire.CommandResult:
 		peers.mu.Lock()
 		results := peers.results[message.ID]
@@ -46,6 +48,7 @@
 		peers.reply(from)
 	}
 	gateway.applyEvidence(name, state.Suspects, now)
+	gateway.applyLimits(state.Limits, now)
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.Leaving {
@@ -61,6 +64,9 @@
 		gateway.snapshots.list.fetchSoon(from)
 	}
 	peers.entries[from] = now
+	if state.PlanFence != 0 {
+		peers.plannerSeen = now
+	}
 	for _, address := range state.Entries {
 		peers.addEntry(address)
 	}
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -318,9 +318,14 @@
 		switch decision := decision.(type) {
 		case dispatch.Send:
 			call.estimate = decision.Estimate
-			return decision.Target, nil
+			if gateway.acquirePermit(call, decision.Target) {
+				return decision.Target, nil
+			}
 		case dispatch.LoadAdapter:
 			call.estimate = decision.Estimate
+			if !gateway.acquirePermit(call, decision.Target) {
+				break
+			}
 			if gateway.loadAdapter(call, decision.Target) {
 				return decision.Target, nil
 			}
@@ -358,6 +363,8 @@
 		return code.New(code.RateExceeded, code.RanNo, "the customer is above its rate and no target is idle, the best one would begin after %v", refuse.Estimate).WithRetryAfter(refuse.RetryAfter)
 	case dispatch.Resting:
 		return code.New(code.TargetsResting, code.RanNo, "each target that could take the request has asked for a rest").WithRetryAfter(retry.Spread(refuse.RetryAfter, randomFraction()))
+	case dispatch.Limited:
+		return code.New(code.TargetsLimited, code.RanNo, "each target that could take the request has used up the limit that it names, or rests").WithRetryAfter(retry.Spread(refuse.RetryAfter, randomFraction()))
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.RetryAfter)
 	case dispatch.TooLarge:
@@ -370,6 +377,9 @@
 // try sends the call to one target and reads the header of the response, or the
 // complete response unless the route is for streams.
 func (gateway *Gateway) try(call *call, target *directory.Target) attemptResult {
+	if !gateway.usePermit(call, target) {
+		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetsLimited, code.RanNo, "the target has named a limit, and the request has no permit").WithRetryAfter(defaultRetryAfter)}
+	}
 	if !gateway.usable(target) {
 		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves or is at rest").WithRetryAfter(defaultRetryAfter)}
 	}
@@ -431,7 +441,7 @@
 // was misdirected, that the target does not hold its model or adapter.
 func (gateway *Gateway) attemptDeclined(attempt *attempt, responseHead ResponseHead) {
 	outcome := dispatch.Declined
-	if responseHead.Rest > 0 {
+	if responseHead.Rest > 0 || responseHead.Limited {
 		outcome = dispatch.Rested
 	}
 	attempt.end(outcome)
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -10,18 +10,19 @@
 )
 
 const (
-	slotWaitPerRequest   = 40 * time.Millisecond // wait for a slot at a full target, for each request in excess
-	adapterLoadTime      = 15 * time.Millisecond // as specified for the deployments
-	remotePenalty        = 8 * time.Millisecond  // keeps requests in the data centre at similar load
-	delayWeight          = 0.02                  // cost of a delay of a running request, relative to the wait of the request itself
-	pauseWeight          = 0.1                   // the same for the part of a delay by which events come too late
-	maxPauseFraction     = 0.8                   // of the longest pause between events that is in time, for which a target may read prompts in a row
-	backoffPenalty       = 3 * time.Second       // ranks a target in backoff behind all with a similar wait
-	affinityDiscount     = 20 * time.Millisecond // keeps an adapter's requests on one target
-	maxEvaluated         = 96                    // candidates evaluated per request; keeps a choice within 20 us
-	maxQueueFraction     = 0.25                  // largest share of the objective spent queueing; longer queues make every request late
-	maxSpareQueueTime    = 50 * time.Millisecond // longest queue that a request above its customer's rate may join
-	maxWaitFraction      = 0.9                   // largest share of the time until start-by that a wait may take
+	slotWaitPerRequest   = 40 * time.Millisecond  // wait for a slot at a full target, for each request in excess
+	adapterLoadTime      = 15 * time.Millisecond  // as specified for the deployments
+	remotePenalty        = 8 * time.Millisecond   // keeps requests in the data centre at similar load
+	delayWeight          = 0.02                   // cost of a delay of a running request, relative to the wait of the request itself
+	pauseWeight          = 0.1                    // the same for the part of a delay by which events come too late
+	maxPauseFraction     = 0.8                    // of the longest pause between events that is in time, for which a target may read prompts in a row
+	backoffPenalty       = 3 * time.Second        // ranks a target in backoff behind all with a similar wait
+	limitPenalty         = 250 * time.Millisecond // leaves the permits of a limited target to requests that no other target serves as well
+	affinityDiscount     = 20 * time.Millisecond  // keeps an adapter's requests on one target
+	maxEvaluated         = 96                     // candidates evaluated per request; keeps a choice within 20 us
+	maxQueueFraction     = 0.25                   // largest share of the objective spent queueing; longer queues make every request late
+	maxSpareQueueTime    = 50 * time.Millisecond  // longest queue that a request above its customer's rate may join
+	maxWaitFraction      = 0.9                    // largest share of the time until start-by that a wait may take
 	minRetryAfter        = 100 * time.Millisecond
 	defaultRetryAfter    = time.Second
 	undeclaredRetryAfter = 30 * time.Second       // a model that is not declared does not become available by waiting
@@ -34,7 +35,7 @@
 func (dispatcher *Dispatcher) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
 	best := candidate{}
 	holders, fitting := 0, 0
-	shortestRest := time.Duration(0) // of the targets at rest, 0 if there is none
+	shortest := Refuse{} // for the target at rest or without a permit that is back first
 	candidates := dispatcher.candidates(request.Service, request.Model)
 	preferred := dispatcher.preferredTarget(candidates, request)
 	first := dispatcher.firstEvaluated(len(candidates))
@@ -43,9 +44,9 @@
 		if replica.leaving() {
 			continue
 		}
-		if left := replica.restLeft(now); left > 0 {
-			if shortestRest == 0 || left < shortestRest {
-				shortestRest = left
+		if reason, left := replica.withheld(now); left > 0 {
+			if shortest.RetryAfter == 0 || left < shortest.RetryAfter {
+				shortest = Refuse{Reason: reason, RetryAfter: left}
 			}
 			continue
 		}
@@ -68,8 +69,8 @@
 		return best.admit(request, now)
 	case holders > 0:
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
-	case shortestRest > 0:
-		return Refuse{Reason: Resting, RetryAfter: shortestRest}
+	case shortest.RetryAfter > 0:
+		return shortest
 	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
@@ -120,6 +121,9 @@
 	if now.Before(replica.backoffUntil) {
 		candidate.cost += backoffPenalty
 	}
+	if replica.limitConfirmed(now) {
+		candidate.cost += limitPenalty
+	}
 	return candidate
 }
 
--- a/kernel/dispatch/notice.go
+++ b/kernel/dispatch/notice.go
@@ -4,19 +4,35 @@
 	"time"
 
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/retry"
 )
 
-// noticeTTL is how long a notice is kept after the target was last listed or the rest
-// has ended. By then a target that leaves has ended.
-const noticeTTL = 10 * time.Minute
+const (
+	// noticeTTL is how long a notice is kept after the target was last listed or the rest
+	// has ended. By then a target that leaves has ended.
+	noticeTTL = 10 * time.Minute
+	// limitReportedFor is how long this instance reports what a target has said of its limit.
+	limitReportedFor  = 10 * time.Second
+	maxReportedLimits = 64 // limits in one report, the latest first
+)
 
 // notice is what a target has asked of this instance in its answers. It holds for one
 // incarnation of the target and outlasts the target's place in the list.
 type notice struct {
-	rest    retry.Rest
-	leaving bool      // this instance sends nothing any more
-	expires time.Time // when it can be dropped if the target is not listed
+	rest        retry.Rest
+	leaving     bool         // this instance sends nothing any more
+	limit       permit.Limit // as this instance knows it, also from others
+	ownLimit    permit.Limit // from the responses that this instance got
+	deniedUntil time.Time    // no permit for a request is free earlier
+	expires     time.Time    // when it can be dropped if the target is not listed
+}
+
+// keepUntil has the notice expire no earlier than at the given time.
+func (notice *notice) keepUntil(expires time.Time) {
+	if expires.After(notice.expires) {
+		notice.expires = expires
+	}
 }
 
 // RecordRest records that a target asked for no further requests of this instance until
@@ -24,9 +40,7 @@
 func (dispatcher *Dispatcher) RecordRest(key directory.TargetKey, until, now time.Time) {
 	notice := dispatcher.notice(key, now)
 	notice.rest.Extend(until)
-	if expires := until.Add(noticeTTL); expires.After(notice.expires) {
-		notice.expires = expires
-	}
+	notice.keepUntil(until.Add(noticeTTL))
 }
 
 // RecordLeaving records that a target stated that it leaves, whatever the list says. It
@@ -35,9 +49,7 @@
 	notice := dispatcher.notice(key, now)
 	known := notice.leaving
 	notice.leaving = true
-	if expires := now.Add(noticeTTL); expires.After(notice.expires) {
-		notice.expires = expires
-	}
+	notice.keepUntil(now.Add(noticeTTL))
 	return !known
 }
 
@@ -68,3 +80,11 @@
 	}
 	return replica.notice.rest.Left(now)
 }
+
+// withheld returns how long the target is to get no requests, and why; 0 if it takes them.
+func (replica *replica) withheld(now time.Time) (reason Reason, left time.Duration) {
+	if left := replica.restLeft(now); left > 0 {
+		return Resting, left
+	}
+	return Limited, replica.deniedFor(now)
+}
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -157,5 +157,6 @@
 	Saturated   Reason = "saturated"    // the best target would send the first event too late or queue the request for too long
 	NoSpare     Reason = "no-spare"     // the request is above the customer's rate, and no target is idle enough to serve it
 	Resting     Reason = "resting"      // each target that could take the request has asked for a rest
+	Limited     Reason = "limited"      // each target that could take the request has used up the limit that it names, or rests
 	TooLarge    Reason = "too-large"    // the request needs more KV cache than any target has that could take it
 )
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -44,6 +44,7 @@
 	ReportRequested  bool           // the receiver is to send its state to the sender without delay
 	InventoryVersion uint64         // sent to an agent: the last TargetState.InventoryVersion received from it
 	Suspects         []PartEvidence // of parts of prompts under which targets have ended
+	Limits           []TargetLimit  // that targets have named to the sender
 }
 
 // AdapterUse names an adapter that requests used, and its base model.
@@ -125,12 +126,12 @@
 	ValidFor time.Duration // validity, counted from arrival; the agent drops the command after it
 }
 
-// CommandResult is the answer to the Command or the RetryRequest with the same ID.
+// CommandResult is the answer to the Command, RetryRequest or PermitRequest with the same ID.
 type CommandResult struct {
 	ID         uint64
 	Done       bool
 	Reason     string        // why the command was refused or failed
-	RetryAfter time.Duration // of a refused RetryRequest: time within which another is refused too
+	RetryAfter time.Duration // of a refused RetryRequest: time within which another is refused too; see also PermitRequest
 }
 
 // The first byte of a datagram is its message kind.
@@ -141,6 +142,7 @@
 	datagramResult
 	datagramPrompt
 	datagramRetry
+	datagramPermit
 )
 
 // EncodeDatagram encodes a message as one datagram. It fails when the message has no
@@ -160,6 +162,8 @@
 		kind = datagramPrompt
 	case *RetryRequest:
 		kind = datagramRetry
+	case *PermitRequest:
+		kind = datagramPermit
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -191,8 +195,10 @@
 		message = &SentPrompt{}
 	case datagramRetry:
 		message = &RetryRequest{}
+	case datagramPermit:
+		message = &PermitRequest{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramRetry)
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramPermit)
 	}
 	return message, parse(data[1:], message)
 }
@@ -250,6 +256,9 @@
 	for index := range entryState.Suspects {
 		writer.message(19, &entryState.Suspects[index])
 	}
+	for index := range entryState.Limits {
+		writer.message(20, &entryState.Limits[index])
+	}
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -298,6 +307,11 @@
 		if parse(value.bytes, &evidence) == nil {
 			entryState.Suspects = append(entryState.Suspects, evidence)
 		}
+	case 20:
+		var limit TargetLimit
+		if parse(value.bytes, &limit) == nil {
+			entryState.Limits = append(entryState.Limits, limit)
+		}
 	}
 }
 
