Load models elsewhere that only targets hold whose limit is below their share of the work

Now a target counts as a holder only while its limit, in requests a second of the mean size, covers its even share of the work of its service, unless that holds for none.

TestModelThatOnlyLimitedTargetHoldsIsNotLoadedElsewhere fails without the change.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -426,7 +426,7 @@
 	peers.mu.Lock()
 	peers.demand[request.Model] += tokens
 	peers.mu.Unlock()
-	peers.gateway.planner.addDemand(request.Model, tokens, peers.gateway.clock.Now())
+	peers.gateway.planner.addRequest(request.Model, tokens, peers.gateway.clock.Now())
 }
 
 // outputTokenCost is the cost of a generated token in prompt tokens.
--- a/entry/gateway/permits.go
+++ b/entry/gateway/permits.go
@@ -180,3 +180,16 @@
 		gateway.dispatcher.ApplyLimitReport(dispatch.LimitReport{Key: key, Limit: permit.NewLimit(reported.PerSecond, namedAt, clearedAt)}, now)
 	}
 }
+
+// targetLimits returns the limits, in requests a second, of those targets that have one.
+func (gateway *Gateway) targetLimits(targets []*directory.Target) map[directory.TargetKey]float64 {
+	limits := map[directory.TargetKey]float64{}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	for _, target := range targets {
+		if perSecond, limited := gateway.dispatcher.Limit(target.Key()); limited {
+			limits[target.Key()] = perSecond
+		}
+	}
+	return limits
+}
--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -80,6 +80,14 @@
 	planRunner.planner.RecordDemand(model, tokens, now)
 }
 
+// addRequest records the demand of one request of a caller of this entry.
+func (planRunner *planRunner) addRequest(model string, tokens float64, now time.Time) {
+	planRunner.mu.Lock()
+	defer planRunner.mu.Unlock()
+	planRunner.planner.RecordRequestSize(tokens)
+	planRunner.planner.RecordDemand(model, tokens, now)
+}
+
 func (planRunner *planRunner) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := planRunner.gateway.clock.Now()
@@ -217,11 +225,13 @@
 // fleet returns the last reported state of all targets with model engines.
 func (gateway *Gateway) fleet(now time.Time) []residency.Target {
 	listed := gateway.syncer.engineTargets()
+	limits := gateway.targetLimits(listed)
 	gateway.peers.mu.Lock()
 	defer gateway.peers.mu.Unlock()
 	targets := make([]residency.Target, 0, len(listed))
 	for _, target := range listed {
 		fleetTarget := residency.Target{Key: target.Key(), Service: target.Service(), Unusable: true}
+		fleetTarget.MaxRequests, fleetTarget.Limited = limits[target.Key()]
 		last, ok := gateway.peers.agentStates[target.Key()]
 		if ok {
 			state := last.state
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -28,6 +28,7 @@
 	commandTimeout     = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
 	storeLoadFraction  = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
 	maxVictimWork      = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
+	requestSmoothing   = 0.02                    // weight of the newest request in the mean size of requests
 	maxVictims         = 2                       // models that one command unloads
 	maxSwaps           = 4                       // commands with an unload in one Plan call; the next call sees their effect
 )
@@ -40,6 +41,8 @@
 	Loading       string          // model whose weights are being loaded, empty for none
 	StoreLoadAges []time.Duration // time since the start of each load from the weight store that its agent still reports
 	Unusable      bool            // draining, or without an agent that may send it orders
+	Limited       bool            // takes only MaxRequests a second
+	MaxRequests   float64         // if Limited
 }
 
 // Command instructs a target's agent to unload models and then load one.
@@ -61,6 +64,7 @@
 	demand     map[string]*demandEstimate
 	pending    map[directory.TargetKey]pendingCommand
 	loadWindow time.Duration
+	meanSize   float64 // of a request, in tokens; 0 before the first one
 }
 
 // demandEstimate is an exponentially decaying average of the demand for a model,
@@ -87,6 +91,38 @@
 	estimate.rate += tokens / demandTimeConstant.Seconds()
 }
 
+// RecordRequestSize records the tokens of one request.
+func (planner *Planner) RecordRequestSize(tokens float64) {
+	if planner.meanSize == 0 {
+		planner.meanSize = tokens
+	}
+	planner.meanSize += requestSmoothing * (tokens - planner.meanSize)
+}
+
+// overLimit reports for each target whether its share of the work of a service, in tokens per
+// second, is more than its limit lets it take. If that holds for all, it is false for all.
+func (planner *Planner) overLimit(targets []Target, service string, work float64) []bool {
+	over, usable, remaining := make([]bool, len(targets)), 0, 0
+	for _, target := range targets {
+		if target.Service == service && !target.Unusable {
+			usable++
+		}
+	}
+	for index, target := range targets {
+		if target.Service != service || target.Unusable {
+			continue
+		}
+		over[index] = target.Limited && target.MaxRequests*planner.meanSize < work/float64(usable)
+		if !over[index] {
+			remaining++
+		}
+	}
+	if remaining == 0 {
+		clear(over)
+	}
+	return over
+}
+
 func (demandEstimate *demandEstimate) decay(now time.Time) {
 	elapsed := now.Sub(demandEstimate.updatedAt)
 	if elapsed <= 0 {
@@ -166,6 +202,7 @@
 		draft.rates[model.Name()] = planner.rate(model.Name(), now)
 		total += draft.rates[model.Name()]
 	}
+	overLimit := planner.overLimit(targets, service.Name(), total)
 	for index := range targets {
 		target := &targets[index]
 		for _, age := range target.StoreLoadAges {
@@ -183,8 +220,8 @@
 			recentLoads++
 			runningLoads++
 		}
-		if target.Service != service.Name() || target.Unusable {
-			continue
+		if target.Service != service.Name() || target.Unusable || overLimit[index] {
+			continue // models that only such targets hold are loaded elsewhere
 		}
 		draft.addTarget(target, pending, hasPending)
 	}
--- a/kernel/residency/planner_test.go
+++ b/kernel/residency/planner_test.go
@@ -73,6 +73,31 @@
 	assert.Equal(t, len(planner.Plan(service(2), []Target{busy, unusable}, start)), 0)
 }
 
+func TestModelThatOnlyLimitedTargetHoldsIsNotLoadedElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit float64 // requests a second
+		loads bool
+	}{"less than its share": {1, true}, "more than its share": {50, false}} {
+		planner := New(window)
+		for range 100 {
+			planner.RecordRequestSize(1000)
+		}
+		for _, model := range []string{"m0", "m1"} {
+			planner.RecordDemand(model, 10000, start)
+		}
+		limited := targetHolding("a", "m1")
+		limited.Limited, limited.MaxRequests = true, test.limit
+		other := targetHolding("b", "m0")
+		planned := planner.Plan(service(2), []Target{limited, other}, start)
+		loads := slices.ContainsFunc(planned, func(command Command) bool { return command.Key.ID == "b" && command.Load == "m1" })
+		assert.Assert(t, !test.loads || loads, "%s: %v", name, planned)
+		both := []Target{limited, limited}
+		both[1].Key.ID = "c"
+		both[1].Report.Models = nil
+		assert.Assert(t, len(planner.Plan(service(2), both, start)) > 0, "%s: all targets are limited, and nothing is loaded", name)
+	}
+}
+
 func TestPlanTargetWithPendingCommandGetsNoCommand(t *testing.T) {
 	planner := New(window)
 	targets := []Target{targetHolding("a", "m0"), targetHolding("b", "m0")}
