Keep requests of the product's own agents within the limits that their targets name

Its name here is that of draft-ietf-httpapi-ratelimit-headers, RateLimit-Policy. The agent alone sends its target requests, so that it issues their permits itself; a request without one is refused with code 1413, and its entry leaves the replica out until then, as during a rest.

--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +96,35 @@
 		assert.Assert(t, fault.RetryAfter() > 50*time.Second)
 	}
 }
+
+func TestAgentSendsMoreThanItsTargetTakes(t *testing.T) {
+	const perSecond, lasts = 2, 3 * time.Second
+	var arrived atomic.Int64
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		writer.Header().Set("RateLimit-Policy", `"default";q=4;w=2`)
+	}))
+	defer target.Close()
+	agent := newIdleAgent(t)
+	agent.client = engine.New(strings.TrimPrefix(target.URL, "http://"), time.Second, clock.System{})
+	agent.slots.Store(100)
+	refused := 0
+	for begun := time.Now(); time.Since(begun) < lasts; time.Sleep(10 * time.Millisecond) {
+		request := &wire.Request{Customer: "c", Weight: 1, Timeout: 300 * time.Millisecond, Method: http.MethodGet, Path: "/x", Nonce: "n"}
+		if fault := agent.enqueue(context.Background(), request, agent.Clock().Now()); fault != nil {
+			assert.Equal(t, fault.Code(), code.TargetsLimited)
+			assert.Assert(t, fault.RetryAfter() > 0)
+			refused++
+			continue
+		}
+		_, err := agent.client.Call(request, true)
+		assert.NilError(t, err)
+		agent.releaseSlot(request, agent.Clock().Now())
+	}
+	allowed := int64(perSecond*lasts.Seconds()) + 2
+	assert.Assert(t, arrived.Load() <= allowed && arrived.Load() >= allowed/2, "%d requests in %v, %d are allowed", arrived.Load(), lasts, allowed)
+	assert.Assert(t, refused > 20, "%d refused", refused)
+	busy := 0
+	agent.Control().Do(func() { busy = agent.state.busySlots })
+	assert.Equal(t, busy, 0)
+}
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -135,12 +135,48 @@
 	})
 	select {
 	case err := <-waiting.grant:
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		if err := agent.cancelQueued(waiting); err != nil {
+			return err
+		}
+	}
+	if err := agent.awaitPermit(ctx, latestStart); err != nil {
+		agent.returnSlot()
 		return err
+	}
+	return nil
+}
+
+// awaitPermit waits until the limit that the target names allows a request, and returns a
+// fault if that is not before its latest start.
+func (agent *Agent) awaitPermit(ctx context.Context, latestStart time.Time) *code.Fault {
+	granted, wait := agent.client.TakePermit(latestStart.Sub(agent.Clock().Now()))
+	if !granted {
+		return code.New(code.TargetsLimited, code.RanNo, "target %s has used up the limit that it names", agent.target).WithRetryAfter(wait)
+	}
+	if wait == 0 {
+		return nil
+	}
+	select {
+	case <-agent.Clock().After(wait):
+		return nil
 	case <-ctx.Done():
-		return agent.cancelQueued(waiting)
+		return code.New(code.CallerGone, code.RanNo, "the entry went away")
 	}
 }
 
+// returnSlot returns a slot that was not used.
+func (agent *Agent) returnSlot() {
+	agent.Control().Post(func() {
+		agent.state.busySlots--
+		agent.grantSlots()
+		agent.checkDrained()
+	})
+}
+
 const (
 	defaultSlotTime   = 200 * time.Millisecond // slot time of a request for a model that was never served
 	slotTimeSmoothing = 0.1                    // weight of the newest request in the mean
--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
 )
@@ -42,6 +43,7 @@
 	address  string
 	clock    clock.Clock
 	rest     retry.Rest
+	limiter  limiter
 	pooled   *fasthttp.Client // for calls that may be repeated on a new connection
 	unpooled *fasthttp.Client // a new connection for each call
 }
@@ -50,7 +52,7 @@
 // data for idleTimeout fails.
 func New(address string, idleTimeout time.Duration, clock clock.Clock) *Client {
 	return &Client{
-		address: address, clock: clock,
+		address: address, clock: clock, limiter: limiter{permits: permit.NewIssuer()},
 		pooled: newHTTPClient(idleTimeout, true), unpooled: newHTTPClient(idleTimeout, false),
 	}
 }
@@ -59,6 +61,12 @@
 // them.
 func (client *Client) RestLeft() time.Duration { return client.rest.Left(client.clock.Now()) }
 
+// TakePermit takes a permit for one request to the target. If it is granted, the request is to
+// be sent after the wait. If none is free within maxWait, the wait is that for the next one.
+func (client *Client) TakePermit(maxWait time.Duration) (granted bool, wait time.Duration) {
+	return client.limiter.take(maxWait, client.clock.Now())
+}
+
 // recordRest records the rest that a response asks for, if any.
 func (client *Client) recordRest(httpResponse *fasthttp.Response) {
 	if httpResponse.StatusCode() != fasthttp.StatusServiceUnavailable {
@@ -183,10 +191,14 @@
 		sender = client.unpooled
 		httpRequest.SetConnectionClose()
 	}
+	sentAt := client.clock.Now()
 	if err := do(sender, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
 	client.recordRest(httpResponse)
+	if request.Nonce != "" { // not a call of the agent's own
+		client.limiter.record(httpResponse, sentAt, client.clock.Now())
+	}
 	response := readHead(httpResponse)
 	body, err := readBody(httpResponse)
 	if err != nil {
@@ -233,10 +245,12 @@
 	defer fasthttp.ReleaseRequest(httpRequest)
 	defer fasthttp.ReleaseResponse(httpResponse)
 	setRequest(httpRequest, client.address, request)
+	sentAt := client.clock.Now()
 	if err := do(client.pooled, httpRequest, httpResponse); err != nil {
 		return nil, err
 	}
 	client.recordRest(httpResponse)
+	client.limiter.record(httpResponse, sentAt, client.clock.Now())
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
 		response := readHead(httpResponse)
 		body, err := readBody(httpResponse)
--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -102,9 +102,9 @@
 	switch err.Code() {
 	case code.EngineRefused, code.StreamCut, code.OutcomeUnknown:
 		attempt.replica.RecordFailure(attempt.entry.Clock().Now())
-	case code.TargetsResting:
+	case code.TargetsResting, code.TargetsLimited:
 		attempt.entry.Metrics().Add("targets.rests", 1)
-		attempt.entry.log.Infof("target %s asks for a rest of %v, in response to request %q", attempt.replica.Name(), frame.RetryAfter, attempt.request.ID)
+		attempt.entry.log.Infof("target %s takes no request for %v, code %s, in response to request %q", attempt.replica.Name(), frame.RetryAfter, err.Code(), attempt.request.ID)
 		attempt.replica.Rest().Extend(attempt.entry.Clock().Now().Add(retry.Spread(frame.RetryAfter, rand.Float64())))
 	}
 	return err.WithRetryAfter(frame.RetryAfter)
