Log which request was sent to a target that did not answer

The lines on failed and cut requests now name a hash of caller, method, host, path, query and body. No decision reads it yet.

--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"net"
 	"sync"
 	"syscall"
@@ -9,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
@@ -33,6 +36,18 @@
 	return parts
 }
 
+// requestIdentity returns what requests have in common that are the same but for their
+// attempt: caller, method, host, path, query and body. The hash is cryptographic, so that no
+// caller can make up a request with the identity of another caller's.
+func requestIdentity(customer string, request *fasthttp.Request) quarantine.Part {
+	hash := sha256.New()
+	for _, field := range [][]byte{[]byte(customer), request.Header.Method(), request.Host(), request.RequestURI(), request.Body()} {
+		_ = binary.Write(hash, binary.LittleEndian, uint64(len(field))) // a hash returns no errors
+		_, _ = hash.Write(field)
+	}
+	return quarantine.Part(binary.LittleEndian.Uint64(hash.Sum(nil)))
+}
+
 // checkQuarantine returns the fault of a call with a part that is withheld from targets.
 func (call *call) checkQuarantine() *code.Fault {
 	verdict := call.quarantineVerdict()
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -224,8 +224,8 @@
 	}
 	relay.attempt.recordBreak(cause)
 	relay.attempt.end(dispatch.Failed)
-	gateway.log.Infof("request %q was cut at target %s after event %q, prompt parts %s: %v",
-		call.head.ID, relay.attempt.target.ID(), relay.lastID, call.placement.SharedIDs(), cause)
+	gateway.log.Infof("request %q was cut at target %s after event %q, identity %x, prompt parts %s: %v",
+		call.head.ID, relay.attempt.target.ID(), relay.lastID, uint64(call.identity), call.placement.SharedIDs(), cause)
 	call.tried = append(call.tried, relay.attempt.target.Key())
 	call.sends++
 	if !relay.resumable || !call.mayRetry(attemptResult{ran: code.RanYes}) {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -166,6 +166,11 @@
 	if timeout := route.EventTimeout(); timeout > 0 && timeout < call.deadline.Sub(call.arrived) {
 		call.placement.StartBy = call.arrived.Add(timeout)
 	}
+	customerName := ""
+	if call.customer != nil {
+		customerName = call.customer.Name()
+	}
+	call.identity = requestIdentity(customerName, call.request)
 	if service := current.Service(call.service); service != nil && service.Engine() != nil {
 		call.placement.Model, call.placement.Adapter = call.head.Model, call.head.Adapter
 		call.placement.PromptTokens, call.placement.MaxOutputTokens = call.head.Prompt, call.head.Output
@@ -467,8 +472,8 @@
 		attempt.recordBreak(err)
 	}
 	attempt.end(dispatch.Failed)
-	gateway.log.Infof("request %q failed at target %s after %v, ran %s, prompt parts %s: %v",
-		call.head.ID, attempt.target.ID(), gateway.clock.Now().Sub(attempt.sentAt), ran, call.placement.SharedIDs(), err)
+	gateway.log.Infof("request %q failed at target %s after %v, ran %s, identity %x, prompt parts %s: %v",
+		call.head.ID, attempt.target.ID(), gateway.clock.Now().Sub(attempt.sentAt), ran, uint64(call.identity), call.placement.SharedIDs(), err)
 	if ran == code.RanNo {
 		return attemptResult{ran: ran, unsent: true, fault: code.New(code.NoReplica, ran, "target %s was not reached", attempt.target.ID()).WithRetryAfter(defaultRetryAfter)}
 	}
