Read the lines on failed and cut requests in the report again

Since the parts of prompts stand in these lines, the report had not understood them, so that failed requests were counted without target and cause. The test fails without the change.

--- a/endiverill/internal/report/parser.go
+++ b/endiverill/internal/report/parser.go
@@ -33,8 +33,8 @@
 	{regexp.MustCompile(`^ended at target (\S+): ([a-z ]+) after (\S+), first event after (\S+), longest pause (\S+), estimated ` + estimateForm), readEnded},
 	{regexp.MustCompile(`^refused, code \d+ (\S+), ran \S+, ` + describedForm + `, retry after \S+: (.*)`), readRefused},
 	{regexp.MustCompile(`^refused, code \d+ (\S+), ran \S+, unknown, retry after \S+: (.*)`), readRefusedUnread},
-	{regexp.MustCompile(`^failed at target (\S+) after \S+, ran \S+: (.*)`), readFailed},
-	{regexp.MustCompile(`^was cut at target (\S+) after event "[^"]*": (.*)`), readFailed},
+	{regexp.MustCompile(`^failed at target (\S+) after \S+, ran \w+(?:, [^:]*)?: (.*)`), readFailed},
+	{regexp.MustCompile(`^was cut at target (\S+) after event "[^"]*"(?:, [^:]*)?: (.*)`), readFailed},
 	// An adapter that was not loaded shows in how the request ends.
 	{regexp.MustCompile(`^target \S+ did not load adapter`), nil},
 }
--- a/endiverill/internal/report/report_test.go
+++ b/endiverill/internal/report/report_test.go
@@ -42,6 +42,23 @@
 	})
 }
 
+func TestLineOnFailedRequestIsNotRead(t *testing.T) {
+	for _, text := range []string{
+		`failed at target i-1 after 2ms, ran unknown: EOF`,
+		`failed at target i-1 after 2ms, ran unknown, identity 7f, prompt parts [a b]: EOF`,
+		`was cut at target i-1 after event "3", identity 7f, prompt parts []: EOF`,
+	} {
+		matches := 0
+		for _, pattern := range requestPatterns {
+			if fields := pattern.expression.FindStringSubmatch(text); fields != nil {
+				assert.DeepEqual(t, fields[1:], []string{"i-1", "EOF"})
+				matches++
+			}
+		}
+		assert.Equal(t, matches, 1, text)
+	}
+}
+
 func TestWriteMatchesGoldenFile(t *testing.T) {
 	var text bytes.Buffer
 	assert.NilError(t, readDay(t).Write(&text))
