--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -41,7 +41,7 @@
 // caller can make up a request with the identity of another caller's.
 func requestIdentity(customer string, request *fasthttp.Request) quarantine.Part {
 	hash := sha256.New()
-	for _, field := range [][]byte{[]byte(customer), request.Header.Method(), request.Host(), request.RequestURI(), request.Body()} {
+	for _, field := range [][]byte{[]byte(customer), request.Header.Method(), request.Header.Host(), request.Header.RequestURI(), request.Body()} {
 		_ = binary.Write(hash, binary.LittleEndian, uint64(len(field))) // a hash returns no errors
 		_, _ = hash.Write(field)
 	}
