Withhold whole requests under which targets end

Class of fault: a cause that travels with the work, looked for only where it had shown before.

Change: one account of ends for both. What a request may be withheld for is its shared parts and its identity: caller, method, host, path, query and body. A request that no target has answered is tried once more at once, then by the entry that plans 4 s later, and then once in 24 h; the ends of several targets count each, however close, and all entries pass on what they know of them, so that one that starts learns of it. A request that targets do answer is known as sound: ends within 200 ms count once, the first of them does not count, and an answer clears it. Refusals say ran no and when to return (code 1412, now request-withheld).

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -34,7 +34,7 @@
 	version    uint64            // of the configuration by which the call was admitted
 	estimate   dispatch.Estimate // for the target that was chosen last
 	identity   quarantine.Part   // of the request as a whole
-	suspects   []quarantine.Part // shared parts of the prompt
+	suspects   []quarantine.Part // identity, and shared parts of the prompt
 	permit     heldPermit        // for the next request to a limited target
 }
 
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -26,12 +27,13 @@
 	endCheckTTL     = time.Second            // for which the result is kept
 )
 
-// suspectParts returns the parts of a prompt under which its target may end: those that
-// other requests may share.
-func suspectParts(service string, ids []string) []quarantine.Part {
-	parts := make([]quarantine.Part, 0, len(ids))
+// suspectParts returns what a target may end under: the request as a whole, and the parts of
+// its prompt that other requests may share.
+func suspectParts(service string, identity quarantine.Part, ids []string) []quarantine.Part {
+	parts := make([]quarantine.Part, 0, 1+len(ids))
+	parts = append(parts, identity)
 	for _, id := range ids {
-		parts = append(parts, quarantine.Part(xxhash.Sum64String(service+"/"+id)))
+		parts = append(parts, quarantine.Shared(xxhash.Sum64String(service+"/"+id)))
 	}
 	return parts
 }
@@ -45,7 +47,7 @@
 		_ = binary.Write(hash, binary.LittleEndian, uint64(len(field))) // a hash returns no errors
 		_, _ = hash.Write(field)
 	}
-	return quarantine.Part(binary.LittleEndian.Uint64(hash.Sum(nil)))
+	return quarantine.Whole(binary.LittleEndian.Uint64(hash.Sum(nil)))
 }
 
 // checkQuarantine returns the fault of a call with a part that is withheld from targets.
@@ -59,10 +61,15 @@
 
 // withheldFault returns the fault for a verdict that does not allow a call.
 func withheldFault(verdict quarantine.Verdict) *code.Fault {
-	return code.New(code.PromptWithheld, code.RanNo, "%d targets have ended when they began to answer prompts with part %x", verdict.Ends, uint64(verdict.Part)).
+	return code.New(code.RequestWithheld, code.RanNo, "%d targets have ended when they began to answer requests with part %x", verdict.Ends, uint64(verdict.Part)).
 		WithRetryAfter(retry.Spread(verdict.RetryAfter, randomFraction()))
 }
 
+// targetHash returns the hash of an incarnation of a target.
+func targetHash(key directory.TargetKey) uint32 {
+	return uint32(xxhash.Sum64String(key.ID + "/" + strconv.FormatInt(key.StartedAt, 10)))
+}
+
 func (call *call) quarantineVerdict() quarantine.Verdict {
 	gateway := call.gateway
 	planner := gateway.planner.fence() != 0
@@ -107,9 +114,9 @@
 	gateway.metrics.Add("targets.ended", 1)
 	attempt.trial = false // has an outcome
 	gateway.mu.Lock()
-	gateway.quarantine.RecordEnd(call.suspects, now)
+	gateway.quarantine.RecordEnd(call.suspects, targetHash(attempt.target.Key()), now)
 	gateway.mu.Unlock()
-	gateway.log.Infof("target %s ended before it answered request %q, prompt parts %s are suspected", attempt.target.ID(), call.head.ID, call.placement.SharedIDs())
+	gateway.log.Infof("target %s ended before it answered request %q, identity %x and prompt parts %s are suspected", attempt.target.ID(), call.head.ID, uint64(call.identity), call.placement.SharedIDs())
 	gateway.peers.sendSoon()
 	gateway.cancelWithheld()
 }
@@ -128,7 +135,7 @@
 func (gateway *Gateway) evidence(now time.Time) []wire.PartEvidence {
 	var evidence []wire.PartEvidence
 	for _, item := range gateway.quarantine.Report(now) {
-		reported := wire.PartEvidence{Part: uint64(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying}
+		reported := wire.PartEvidence{Part: uint64(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying, Ended: item.Ended}
 		for _, part := range item.With {
 			reported.With = append(reported.With, uint64(part))
 		}
@@ -144,7 +151,7 @@
 	}
 	report := make([]quarantine.Evidence, 0, len(reported))
 	for _, item := range reported {
-		evidence := quarantine.Evidence{Part: quarantine.Part(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying}
+		evidence := quarantine.Evidence{Part: quarantine.Part(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying, Ended: item.Ended}
 		for _, part := range item.With {
 			evidence.With = append(evidence.With, quarantine.Part(part))
 		}
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -11,6 +11,7 @@
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/quarantine"
 	"endiverill.example/kernel/retry"
 )
 
@@ -171,11 +172,12 @@
 		customerName = call.customer.Name()
 	}
 	call.identity = requestIdentity(customerName, call.request)
+	call.suspects = []quarantine.Part{call.identity}
 	if service := current.Service(call.service); service != nil && service.Engine() != nil {
 		call.placement.Model, call.placement.Adapter = call.head.Model, call.head.Adapter
 		call.placement.PromptTokens, call.placement.MaxOutputTokens = call.head.Prompt, call.head.Output
 		call.placement.Parts = call.head.Parts
-		call.suspects = suspectParts(call.service, call.placement.SharedIDs())
+		call.suspects = suspectParts(call.service, call.identity, call.placement.SharedIDs())
 	}
 	return nil
 }
--- a/kernel/code/code.go
+++ b/kernel/code/code.go
@@ -42,7 +42,7 @@
 	CallerGone      Code = 1409
 	Declined        Code = 1410
 	TargetsResting  Code = 1411
-	PromptWithheld  Code = 1412
+	RequestWithheld Code = 1412
 	TargetsLimited  Code = 1413
 	StoreDown       Code = 1501
 	StillRunning    Code = 1502
@@ -102,7 +102,7 @@
 	Revoked:         {Revoked, "revoked", 503, "The request was revoked before it started."},
 	Declined:        {Declined, "declined", 503, "The target stated that it did not run the request."},
 	TargetsResting:  {TargetsResting, "targets-resting", 503, "Each target that could take the request has asked for a rest."},
-	PromptWithheld:  {PromptWithheld, "prompt-withheld", 503, "Targets have ended when they began to answer prompts with a part of this one; it is tried again later."},
+	RequestWithheld: {RequestWithheld, "request-withheld", 503, "Targets have ended when they began to answer this request, or prompts with a part of this one; it is tried again later."},
 	TargetsLimited:  {TargetsLimited, "targets-limited", 503, "Each target that could take the request has used up the limit that it names."},
 	CallerGone:      {CallerGone, "caller-gone", 499, "The caller closed its connection."},
 	StoreDown:       {StoreDown, "store-down", 503, "The platform's object API does not answer, so the request could not be recorded."},
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -1,9 +1,10 @@
-// Package quarantine decides which parts of prompts are withheld from targets, because
-// targets ended when they began to answer prompts with them. Each entry records the ends
-// that it has seen and the parts under which answers have begun, and exchanges this
-// evidence with the others. A part is withheld for a time that grows with each end, and
-// then tried with one request at a time. An answer that begins under a part clears it. The
-// package does no I/O and is not safe for concurrent use.
+// Package quarantine decides which requests are withheld from targets, because targets ended
+// when they began to answer requests with the same shared part of their prompt, or the same
+// requests as a whole. Each entry records the ends that it has seen and the parts under which
+// answers have begun, and exchanges this evidence with the others. A part is withheld for a
+// time that grows with each end, and then tried with one request at a time. An answer that
+// begins under a part clears it. A whole request that no target has ever answered is tried
+// only twice more. The package does no I/O and is not safe for concurrent use.
 package quarantine
 
 import (
@@ -19,21 +20,39 @@
 	trialTTL      = 3 * time.Second        // for which a trial without an outcome keeps others back
 	trialPause    = 300 * time.Millisecond // least time to return while a part is being tried
 	plannerTrials = 5                      // ends after which only the entry that plans tries a part
+	wholeRest     = 4 * time.Second        // for which a request that no target has answered is withheld after the second end; longer than targets need to come back
+	wholeMaxRest  = 24 * time.Hour         // the same from the third end on
+	wholePlanner  = 2                      // ends after which only the entry that plans tries a whole request
+	maxTargets    = 8                      // of one whole request, whose ends are told apart
+	freshFor      = 10 * time.Second       // for which changes are in each report
+	fullReports   = 10                     // one in so many reports has all evidence
 	goodFor       = time.Minute            // for which a part is known as sound after an answer under it has begun
 	forgetAfter   = time.Minute            // from the end of a part's rest
 	clearedFor    = 5 * time.Second        // for which a part is still reported after an answer has cleared it
 	maxRecords    = 512                    // of suspected parts; those with the oldest ends are dropped first
-	maxGood       = 8192                   // parts under which answers have begun lately
+	maxGood       = 8192                   // parts of each kind under which answers have begun lately
 	maxEvidence   = 64                     // in one report
 )
 
-// Part identifies a part of a prompt, by a hash of its ID.
+// Part identifies a part of a prompt, or a request as a whole, by a hash. The lowest bit is
+// set for a whole request.
 type Part uint64
 
+const wholeBit Part = 1
+
+// Shared returns the part of prompts with this hash.
+func Shared(hash uint64) Part { return Part(hash) &^ wholeBit }
+
+// Whole returns the whole request with this hash.
+func Whole(hash uint64) Part { return Part(hash) | wholeBit }
+
+func (part Part) whole() bool { return part&wholeBit != 0 }
+
 // Evidence is what one entry has seen of a part.
 type Evidence struct {
 	Part   Part
 	Ends   int           // of targets, since an answer under the part last began
+	Ended  []uint32      // hashes of the targets that ended, for a whole request
 	Age    time.Duration // of the latest end
 	With   []Part        // the other parts of the request under which it came
 	Begun  bool          // an answer under the part has begun lately
@@ -44,12 +63,14 @@
 // seen is the evidence of one entry at a time.
 type seen struct {
 	ends  int
+	ended []uint32  // hashes of the targets, for a whole request
 	endAt time.Time // of the latest end
 	with  []Part    // the other parts of the request under which it came
 }
 
 // record is what is known of a suspected part.
 type record struct {
+	whole    bool // of a whole request
 	own      seen
 	others   map[string]seen // by entry
 	begunAt  time.Time       // when an answer under the part last began
@@ -60,13 +81,23 @@
 
 // Quarantine is the state of one entry.
 type Quarantine struct {
-	records map[Part]*record
-	good    map[Part]time.Time // parts under which answers have begun, and when last
+	records   map[Part]*record
+	good      map[Part]time.Time // parts of prompts under which answers have begun, and when last
+	goodWhole map[Part]time.Time // the same for whole requests
+	reports   int                // made so far
 }
 
 // New returns a Quarantine that knows of no part.
 func New() *Quarantine {
-	return &Quarantine{records: map[Part]*record{}, good: map[Part]time.Time{}}
+	return &Quarantine{records: map[Part]*record{}, good: map[Part]time.Time{}, goodWhole: map[Part]time.Time{}}
+}
+
+// goodOf returns the map that holds when answers under a part have last begun.
+func (quarantine *Quarantine) goodOf(part Part) map[Part]time.Time {
+	if part.whole() {
+		return quarantine.goodWhole
+	}
+	return quarantine.good
 }
 
 // Verdict says whether a request may be sent to a target.
@@ -92,14 +123,14 @@
 		if quarantine.explained(record, ends, parts) {
 			weight = min(weight, 1)
 		}
-		wait := last.Add(rest(weight)).Sub(now)
+		wait := last.Add(record.rest(weight)).Sub(now)
 		switch {
 		case weight <= 0:
 			continue
 		case wait <= 0 && record.triedTil.After(now):
 			wait = trialPause
-		case wait <= 0 && weight >= plannerTrials && !planner:
-			wait = rest(weight)
+		case wait <= 0 && weight >= record.plannerTrials() && !planner:
+			wait = record.rest(weight)
 		case wait <= 0:
 			verdict.Trial, verdict.Part, verdict.Ends = true, part, ends
 			continue
@@ -116,7 +147,7 @@
 		if record := quarantine.records[part]; record != nil {
 			ends, last := record.count()
 			weight := record.weight(ends)
-			if weight > 1 && now.Before(last.Add(rest(weight))) && !quarantine.explained(record, ends, parts) {
+			if weight > 1 && now.Before(last.Add(record.rest(weight))) && !quarantine.explained(record, ends, parts) {
 				return true
 			}
 		}
@@ -160,31 +191,41 @@
 	}
 }
 
-// RecordEnd records that a target ended before it began to answer a request with these
-// parts.
-func (quarantine *Quarantine) RecordEnd(parts []Part, now time.Time) {
+// RecordEnd records that a target, given by its hash, ended before it began to answer a
+// request with these parts.
+func (quarantine *Quarantine) RecordEnd(parts []Part, target uint32, now time.Time) {
 	for _, part := range parts {
 		known := quarantine.suspect(part, now)
 		known.triedTil = time.Time{}
 		switch {
 		case !known.own.valid(known.begunAt):
-			known.own.ends = 0
+			known.own.ends, known.own.ended = 0, nil
 		case now.Sub(known.own.endAt) < sameEnd:
+			known.addEnded(target)
 			continue
 		}
-		known.own = seen{ends: known.own.ends + 1, endAt: now, with: without(parts, part)}
+		known.own.ends++
+		known.own.endAt, known.own.with = now, without(parts, part)
+		known.addEnded(target)
 	}
 	quarantine.expire(now)
 }
 
+// addEnded records the target that ended, if the record is that of a whole request.
+func (record *record) addEnded(target uint32) {
+	if record.whole && !slices.Contains(record.own.ended, target) && len(record.own.ended) < maxTargets {
+		record.own.ended = append(record.own.ended, target)
+	}
+}
+
 // suspect returns the record of a part under which a target has ended.
 func (quarantine *Quarantine) suspect(part Part, now time.Time) *record {
 	known := quarantine.records[part]
 	if known == nil {
-		known = &record{others: map[string]seen{}}
+		known = &record{whole: part.whole(), others: map[string]seen{}}
 		quarantine.records[part] = known
 	}
-	begunAt, begun := quarantine.good[part]
+	begunAt, begun := quarantine.goodOf(part)[part]
 	if begunAt.After(known.begunAt) {
 		known.begunAt = begunAt
 	}
@@ -198,7 +239,7 @@
 // It reports whether any of them was suspected, so that the others should learn of it.
 func (quarantine *Quarantine) RecordBegun(parts []Part, now time.Time) (suspected bool) {
 	for _, part := range parts {
-		quarantine.good[part] = now
+		quarantine.goodOf(part)[part] = now
 		if record := quarantine.records[part]; record != nil {
 			ends, _ := record.count()
 			suspected = suspected || ends > 0
@@ -211,17 +252,24 @@
 // Report returns the evidence that the other entries are to know, the latest first.
 func (quarantine *Quarantine) Report(now time.Time) []Evidence {
 	quarantine.expire(now)
+	full := quarantine.reports%fullReports == 0
+	quarantine.reports++
 	var report []Evidence
 	for part, record := range quarantine.records {
 		evidence := Evidence{Part: part}
-		if record.own.valid(record.begunAt) {
-			evidence.Ends, evidence.Age, evidence.With = record.own.ends, now.Sub(record.own.endAt), record.own.with
+		switch {
+		case record.neverAnswered():
+			evidence.Ended, evidence.Age = record.allEnded(), now.Sub(record.lastEnd())
+			evidence.Ends = len(evidence.Ended)
+			_, evidence.With = record.latest()
+		case record.own.valid(record.begunAt):
+			evidence.Ends, evidence.Ended, evidence.Age, evidence.With = record.own.ends, record.own.ended, now.Sub(record.own.endAt), record.own.with
 		}
-		if since := now.Sub(quarantine.good[part]); since < goodFor {
+		if since := now.Sub(quarantine.goodOf(part)[part]); since < goodFor {
 			evidence.Begun, evidence.Since = true, since
 		}
 		evidence.Trying = record.triedBy == "" && record.triedTil.After(now)
-		if evidence.Ends > 0 || evidence.Begun || evidence.Trying {
+		if evidence.Ends > 0 && (full || evidence.Age < freshFor) || evidence.Begun || evidence.Trying {
 			report = append(report, evidence)
 		}
 	}
@@ -240,7 +288,7 @@
 			continue
 		}
 		if evidence.Ends > 0 {
-			known.others[entry] = seen{ends: evidence.Ends, endAt: now.Add(-evidence.Age), with: evidence.With}
+			known.others[entry] = seen{ends: evidence.Ends, ended: evidence.Ended, endAt: now.Add(-evidence.Age), with: evidence.With}
 		}
 		if begunAt := now.Add(-evidence.Since); evidence.Begun && begunAt.After(known.begunAt) {
 			known.begunAt = begunAt
@@ -261,7 +309,12 @@
 
 // count returns the ends under the part since an answer under it last began, over all
 // entries, and when the latest was. Entries that saw one end at the same time count it once.
+// For a whole request that no target has answered, each target counts, since it may end
+// several within a short time.
 func (record *record) count() (ends int, last time.Time) {
+	if record.neverAnswered() {
+		return len(record.allEnded()), record.lastEnd()
+	}
 	times := make([]time.Time, 0, 1+len(record.others))
 	add := func(seen seen) {
 		if !seen.valid(record.begunAt) {
@@ -286,6 +339,31 @@
 	return ends, last
 }
 
+// neverAnswered reports whether the record is that of a whole request that no target is known
+// to have answered. What is known of its ends is passed on by all entries.
+func (record *record) neverAnswered() bool {
+	return record.whole && !record.wasGood && record.begunAt.IsZero()
+}
+
+// allEnded returns the hashes of the targets that have ended under the request.
+func (record *record) allEnded() []uint32 {
+	all := slices.Clone(record.own.ended)
+	for _, seen := range record.others {
+		for _, target := range seen.ended {
+			if !slices.Contains(all, target) {
+				all = append(all, target)
+			}
+		}
+	}
+	return all[:min(len(all), maxTargets)]
+}
+
+// lastEnd returns when the latest end under the part was.
+func (record *record) lastEnd() time.Time {
+	at, _ := record.latest()
+	return at
+}
+
 // latest returns when the latest end under the part was, and the other parts of the request
 // under which it came.
 func (record *record) latest() (at time.Time, with []Part) {
@@ -312,8 +390,28 @@
 	return ends
 }
 
-// rest returns how long a part is withheld after the latest of ends of this weight.
-func rest(weight int) time.Duration {
+// plannerTrials returns the ends after which only the entry that plans tries the part.
+func (record *record) plannerTrials() int {
+	if record.whole {
+		return wholePlanner
+	}
+	return plannerTrials
+}
+
+// rest returns how long a part is withheld after the latest of ends of this weight. A whole
+// request that no target has answered is tried once more at once: most of those under which a
+// target ends are sound.
+func (record *record) rest(weight int) time.Duration {
+	if record.neverAnswered() {
+		switch {
+		case weight <= 1:
+			return 0
+		case weight == wholePlanner:
+			return wholeRest
+		default:
+			return wholeMaxRest
+		}
+	}
 	rest := firstRest
 	for range min(weight, maxRestSteps) - 1 {
 		rest *= restFactor
@@ -328,19 +426,24 @@
 func (quarantine *Quarantine) expire(now time.Time) {
 	for part, record := range quarantine.records {
 		ends, last := record.count()
-		if now.Sub(last) > rest(record.weight(ends))+forgetAfter && now.Sub(record.begunAt) > clearedFor {
+		if now.Sub(last) > record.rest(record.weight(ends))+forgetAfter && now.Sub(record.begunAt) > clearedFor {
 			delete(quarantine.records, part)
 		}
 	}
 	for len(quarantine.records) > maxRecords {
 		quarantine.dropOldest()
 	}
-	if len(quarantine.good) <= maxGood {
+	expireGood(quarantine.good, now)
+	expireGood(quarantine.goodWhole, now)
+}
+
+func expireGood(good map[Part]time.Time, now time.Time) {
+	if len(good) <= maxGood {
 		return
 	}
-	for part, at := range quarantine.good {
-		if now.Sub(at) > goodFor || len(quarantine.good) > maxGood {
-			delete(quarantine.good, part)
+	for part, at := range good {
+		if now.Sub(at) > goodFor || len(good) > maxGood {
+			delete(good, part)
 		}
 	}
 }
--- a/kernel/wire/partevidence.go
+++ b/kernel/wire/partevidence.go
@@ -6,15 +6,17 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// PartEvidence is what an entry has seen of a part of prompts under which targets ended.
+// PartEvidence is what an entry has seen of a part of prompts, or of a whole request, under
+// which targets ended.
 type PartEvidence struct {
-	Part   uint64        // hash of the part's ID
+	Part   uint64        // see quarantine.Part
 	Ends   int           // of targets, since an answer under the part last began
 	Age    time.Duration // of the latest end
 	Begun  bool          // an answer under the part has begun lately
 	Since  time.Duration // since then
 	With   []uint64      // the other parts of the request under which the latest end came
 	Trying bool          // the entry is trying the part
+	Ended  []uint32      // hashes of the targets that ended, for a whole request
 }
 
 func (partEvidence *PartEvidence) appendTo(writer *writer) {
@@ -25,6 +27,7 @@
 	writer.duration(5, partEvidence.Since)
 	writer.packed(6, partEvidence.With)
 	writer.bool(7, partEvidence.Trying)
+	writer.keys(8, partEvidence.Ended)
 }
 
 func (partEvidence *PartEvidence) setField(number protowire.Number, value fieldValue) {
@@ -43,5 +46,7 @@
 		partEvidence.With = value.packed()
 	case 7:
 		partEvidence.Trying = value.bool()
+	case 8:
+		partEvidence.Ended = value.keys()
 	}
 }
