--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"endiverill.example/entry/evidence"
 	"endiverill.example/kernel/datagram"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
@@ -188,7 +189,7 @@
 		gateway.limiter.MarkReported(now)
 	}
 	setReport(state, gateway.limiter.Report(now))
-	state.Suspects = gateway.evidence(now)
+	state.Suspects = evidence.Encode(gateway.quarantine.Report(now))
 	state.Limits = gateway.limitReports(now)
 	return state
 }
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
 	"net"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"endiverill.example/entry/evidence"
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/quarantine"
@@ -38,16 +36,10 @@
 	return parts
 }
 
-// requestIdentity returns what requests have in common that are the same but for their
-// attempt: caller, method, host, path, query and body. The hash is cryptographic, so that no
-// caller can make up a request with the identity of another caller's.
+// requestIdentity returns the identity of a caller's request.
 func requestIdentity(customer string, request *fasthttp.Request) quarantine.Part {
-	hash := sha256.New()
-	for _, field := range [][]byte{[]byte(customer), request.Header.Method(), request.Header.Host(), request.Header.RequestURI(), request.Body()} {
-		_ = binary.Write(hash, binary.LittleEndian, uint64(len(field))) // a hash returns no errors
-		_, _ = hash.Write(field)
-	}
-	return quarantine.Whole(binary.LittleEndian.Uint64(hash.Sum(nil)))
+	header := &request.Header
+	return evidence.Identity([]byte(customer), header.Method(), header.Host(), header.RequestURI(), request.Body())
 }
 
 // checkQuarantine returns the fault of a call with a part that is withheld from targets.
@@ -65,11 +57,6 @@
 		WithRetryAfter(retry.Spread(verdict.RetryAfter, randomFraction()))
 }
 
-// targetHash returns the hash of an incarnation of a target.
-func targetHash(key directory.TargetKey) uint32 {
-	return uint32(xxhash.Sum64String(key.ID + "/" + strconv.FormatInt(key.StartedAt, 10)))
-}
-
 func (call *call) quarantineVerdict() quarantine.Verdict {
 	gateway := call.gateway
 	planner := gateway.planner.fence() != 0
@@ -114,7 +101,7 @@
 	gateway.metrics.Add("targets.ended", 1)
 	attempt.trial = false // has an outcome
 	gateway.mu.Lock()
-	gateway.quarantine.RecordEnd(call.suspects, targetHash(attempt.target.Key()), now)
+	gateway.quarantine.RecordEnd(call.suspects, evidence.TargetHash(attempt.target.ID(), attempt.target.StartedAt()), now)
 	gateway.mu.Unlock()
 	gateway.log.Infof("target %s ended before it answered request %q, identity %x and prompt parts %s are suspected", attempt.target.ID(), call.head.ID, uint64(call.identity), call.placement.SharedIDs())
 	gateway.peers.sendSoon()
@@ -130,35 +117,13 @@
 	})
 }
 
-// evidence returns what this entry reports of suspected parts. The caller must hold
-// gateway.mu.
-func (gateway *Gateway) evidence(now time.Time) []wire.PartEvidence {
-	var evidence []wire.PartEvidence
-	for _, item := range gateway.quarantine.Report(now) {
-		reported := wire.PartEvidence{Part: uint64(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying, Ended: item.Ended}
-		for _, part := range item.With {
-			reported.With = append(reported.With, uint64(part))
-		}
-		evidence = append(evidence, reported)
-	}
-	return evidence
-}
-
-// applyEvidence records what another entry has reported of suspected parts.
+// applyEvidence records what another entry has reported of requests under which targets ended.
 func (gateway *Gateway) applyEvidence(from string, reported []wire.PartEvidence, now time.Time) {
 	if len(reported) == 0 {
 		return
 	}
-	report := make([]quarantine.Evidence, 0, len(reported))
-	for _, item := range reported {
-		evidence := quarantine.Evidence{Part: quarantine.Part(item.Part), Ends: item.Ends, Age: item.Age, Begun: item.Begun, Since: item.Since, Trying: item.Trying, Ended: item.Ended}
-		for _, part := range item.With {
-			evidence.With = append(evidence.With, quarantine.Part(part))
-		}
-		report = append(report, evidence)
-	}
 	gateway.mu.Lock()
-	gateway.quarantine.Apply(from, report, now)
+	gateway.quarantine.Apply(from, evidence.Decode(reported), now)
 	gateway.mu.Unlock()
 	gateway.cancelWithheld()
 }
