Withhold requests under which targets end in the product's own path

The same cause as on the platform: a request whose target ended counted against the target and was sent to the next one, and again each time it came. Entries withhold completions and requests to idempotent routes by their identity, as on the platform, and tell each other of ends and trials.

--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -128,3 +128,15 @@
 	agent.Control().Do(func() { busy = agent.state.busySlots })
 	assert.Equal(t, busy, 0)
 }
+
+func TestEndOfTargetIsTakenForCutAnswer(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	agent := newIdleAgent(t)
+	agent.client = engine.New(strings.TrimPrefix(target.URL, "http://"), time.Second, clock.System{})
+	_, err := agent.client.Call(&wire.Request{Method: http.MethodGet, Path: "/x"}, true)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, agent.targetError(err).Code(), code.StreamCut, "the target still listens")
+	target.Close()
+	assert.Equal(t, agent.targetError(err).Code(), code.TargetEnded)
+	assert.Equal(t, agent.targetError(err).Ran(), code.RanUnknown)
+}
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -313,6 +313,9 @@
 	if errors.Is(err, engine.ErrNotSent) {
 		return code.New(code.EngineRefused, code.RanNo, "the target was not reached")
 	}
+	if agent.client.Ended() {
+		return code.New(code.TargetEnded, code.RanUnknown, "the target ended while it ran the request")
+	}
 	return code.New(code.StreamCut, code.RanUnknown, "the target's answer was cut off")
 }
 
--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,9 +32,10 @@
 )
 
 const (
-	dialTimeout  = 2 * time.Second
-	maxBodyBytes = 16 << 20 // of a response
-	maxConns     = 4096     // to the target, per HTTP client
+	dialTimeout     = 2 * time.Second
+	endCheckTimeout = 200 * time.Millisecond
+	maxBodyBytes    = 16 << 20 // of a response
+	maxConns        = 4096     // to the target, per HTTP client
 )
 
 // Client sends requests and orders to one target. When the target answers 503 with
@@ -67,6 +69,15 @@
 	return client.limiter.take(maxWait, client.clock.Now())
 }
 
+// Ended reports whether nothing listens at the target's address any more.
+func (client *Client) Ended() bool {
+	conn, err := net.DialTimeout("tcp", client.address, endCheckTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // recordRest records the rest that a response asks for, if any.
 func (client *Client) recordRest(httpResponse *fasthttp.Response) {
 	if httpResponse.StatusCode() != fasthttp.StatusServiceUnavailable {
--- a/entry/entry/attempt.go
+++ b/entry/entry/attempt.go
@@ -100,7 +100,7 @@
 func (attempt *attempt) refusal(frame *wire.Frame) *code.Fault {
 	err := code.New(code.Code(frame.Code), code.Ran(frame.Ran), "%s", frame.Message)
 	switch err.Code() {
-	case code.EngineRefused, code.StreamCut, code.OutcomeUnknown:
+	case code.EngineRefused, code.StreamCut, code.OutcomeUnknown, code.TargetEnded:
 		attempt.replica.RecordFailure(attempt.entry.Clock().Now())
 	case code.TargetsResting, code.TargetsLimited:
 		attempt.entry.Metrics().Add("targets.rests", 1)
--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -8,6 +8,7 @@
 
 	"endiverill.example/kernel/burn"
 	"endiverill.example/kernel/code"
+	"endiverill.example/kernel/quarantine"
 	"endiverill.example/kernel/route"
 	"endiverill.example/kernel/wire"
 )
@@ -20,6 +21,7 @@
 	prompt          *prompt
 	groupName       string
 	request         *wire.Request
+	identity        []quarantine.Part
 	routeRequest    route.Request
 	attempts        int
 	attempt         *attempt
@@ -85,7 +87,7 @@
 	request.Stream = prompt.stream
 	request.Tokens = prompt.reservedTokens()
 	completion := &completion{
-		entry: entry, call: call, prompt: prompt, request: request, groupName: groupOf(call.snapshot, model, adapter),
+		entry: entry, call: call, prompt: prompt, request: request, identity: identityOf(request), groupName: groupOf(call.snapshot, model, adapter),
 		routeRequest: route.Request{Prefix: prompt.prefixHash, Random: prompt.prefixHash ^ uint64(call.receivedAt.UnixNano())},
 	}
 	completion.ctx, completion.cancel = context.WithDeadline(context.Background(), call.deadline)
@@ -146,6 +148,13 @@
 // reports the model to the planner.
 func (completion *completion) openNext() *code.Fault {
 	entry := completion.entry
+	ran := code.RanNo
+	if completion.attempts > 0 {
+		ran = code.RanUnknown
+	}
+	if err := entry.withheld.check(completion.identity, ran); err != nil {
+		return err
+	}
 	current := entry.snapshot.Load()
 	replica, err := entry.pickReplica(current, completion.groupName, &completion.routeRequest)
 	if err != nil {
@@ -167,9 +176,13 @@
 	for {
 		frame, err := completion.tryNext()
 		if err == nil {
+			if frame.Kind == wire.FrameEnd || frame.Kind == wire.FrameComplete {
+				completion.entry.withheld.recordOutcome(completion.identity, completion.request, completion.attempt.replica.Name(), nil)
+			}
 			return frame, nil
 		}
 		if completion.attempt != nil {
+			completion.entry.withheld.recordOutcome(completion.identity, completion.request, completion.attempt.replica.Name(), err)
 			completion.attempt.close()
 			completion.attempt = nil
 		}
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -60,6 +60,7 @@
 	openRequests atomic.Int64 // requests without a complete response
 	limits       limits
 	cancellable  cancellableRequests
+	withheld     *withheldRequests
 
 	// The following fields belong to the control goroutine.
 	members  *member.Table
@@ -105,6 +106,7 @@
 		},
 	}
 	entry.server = entry.newServer()
+	entry.withheld = newWithheldRequests(entry)
 	entry.quota, err = newQuota(entry)
 	if err != nil {
 		return nil, err
@@ -184,6 +186,7 @@
 		wire.CallShares:        rpc.Unary(entry.handleShares),
 		wire.CallMissingModels: rpc.Unary(entry.handleMissingModels),
 		wire.CallRetry:         rpc.Unary(entry.handleRetry),
+		wire.CallEvidence:      rpc.Unary(entry.handleEvidence),
 	}
 }
 
--- a/entry/entry/plainservice.go
+++ b/entry/entry/plainservice.go
@@ -94,8 +94,14 @@
 // answers or retries are exhausted.
 func (entry *Entry) serveIdempotent(requestCtx context.Context, ctx *fasthttp.RequestCtx, call *call, request *wire.Request, group string) *code.Fault {
 	routeRequest := route.Request{Random: uint64(call.receivedAt.UnixNano())}
+	identity, ran := identityOf(request), code.RanNo
 	for attempts := 1; ; attempts++ {
+		if err := entry.withheld.check(identity, ran); err != nil {
+			return err
+		}
+		ran = code.RanUnknown
 		full, target, err := entry.tryIdempotent(requestCtx, call, request, group, &routeRequest)
+		entry.withheld.recordOutcome(identity, request, target, err)
 		if err == nil {
 			writeResponse(ctx, full, target)
 			return nil
--- a/entry/entry/retries.go
+++ b/entry/entry/retries.go
@@ -18,7 +18,7 @@
 // target, and if so takes a retry.
 func (entry *Entry) mayRetry(ctx context.Context, call *call, service string, err *code.Fault, attempts int) bool {
 	switch err.Code() {
-	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone:
+	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone, code.RequestWithheld:
 		return false
 	}
 	if attempts >= entry.limits.attempts || !entry.Clock().Now().Before(call.deadline) {
--- a/kernel/wire/codec_test.go
+++ b/kernel/wire/codec_test.go
@@ -21,7 +21,7 @@
 	}
 	documentRequest := &DocumentRequest{Kind: DocumentTargets, Version: 1, Requester: 2, Digest: 1 << 63, Offset: 3, MaxBytes: 4}
 	documentPart := &DocumentPart{Version: 1, Age: 2, Position: 3, Busy: true, Digest: 1 << 63, Size: 5, Offset: 4, Data: []byte{0}}
-	for _, test := range []struct{ in, out Message }{{request, &Request{}}, {frame, &Frame{}}, {documentRequest, &DocumentRequest{}}, {documentPart, &DocumentPart{}}} {
+	for _, test := range []struct{ in, out Message }{{request, &Request{}}, {frame, &Frame{}}, {documentRequest, &DocumentRequest{}}, {documentPart, &DocumentPart{}}, {&EvidenceNotice{Entry: "e", Suspects: []PartEvidence{{Part: 7, Ends: 1}}}, &EvidenceNotice{}}} {
 		data, err := encoding.Marshal(test.in)
 		assert.NilError(t, err)
 		// A field that only a later release knows must be skipped.
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -9,16 +9,17 @@
 // The paths of the drpc calls. Agents answer the calls under /agent/, and entries those
 // under /peer/; agents answer CallConfig too.
 const (
-	CallServe         = "/agent/serve"  // Request, answered by a stream of Frame
-	CallRevoke        = "/agent/revoke" // RevokeRequest, answered by RevokeAnswer
-	CallStatus        = "/agent/status" // StatusRequest, answered by Load
-	CallConfig        = "/peer/config"  // ConfigRequest, answered by ConfigAnswer
-	CallLeave         = "/peer/leave"   // LeaveNotice, answered by Empty
-	CallBorrow        = "/peer/borrow"  // BorrowRequest, answered by BorrowAnswer
-	CallShares        = "/peer/shares"  // Empty in both directions; says that the table of quota shares has changed
-	CallAssign        = "/agent/assign" // AssignRequest, answered by Empty
-	CallMissingModels = "/peer/wanted"  // MissingModelsRequest, answered by Empty
-	CallRetry         = "/peer/retry"   // RetryRequest, answered by CommandResult
+	CallServe         = "/agent/serve"   // Request, answered by a stream of Frame
+	CallRevoke        = "/agent/revoke"  // RevokeRequest, answered by RevokeAnswer
+	CallStatus        = "/agent/status"  // StatusRequest, answered by Load
+	CallConfig        = "/peer/config"   // ConfigRequest, answered by ConfigAnswer
+	CallLeave         = "/peer/leave"    // LeaveNotice, answered by Empty
+	CallBorrow        = "/peer/borrow"   // BorrowRequest, answered by BorrowAnswer
+	CallShares        = "/peer/shares"   // Empty in both directions; says that the table of quota shares has changed
+	CallAssign        = "/agent/assign"  // AssignRequest, answered by Empty
+	CallMissingModels = "/peer/wanted"   // MissingModelsRequest, answered by Empty
+	CallRetry         = "/peer/retry"    // RetryRequest, answered by CommandResult
+	CallEvidence      = "/peer/evidence" // EvidenceNotice, answered by Empty
 )
 
 // Header is one HTTP header that is forwarded to a target or returned to a caller.
