--- a/endiverill/internal/deployment/deployment.go
+++ b/endiverill/internal/deployment/deployment.go
@@ -178,6 +178,7 @@
 	}
 	for index, name := range spec.Services {
 		serviceStandIn := service.New()
+		context.AfterFunc(deployment.ctx, serviceStandIn.Close)
 		address, err := deployment.serve(serviceStandIn.Serve)
 		if err != nil {
 			return err
--- a/entry/evidence/evidence_test.go
+++ b/entry/evidence/evidence_test.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,10 +23,13 @@
 	assert.DeepEqual(t, Decode(Encode(report)), report)
 }
 
-func BenchmarkIdentityOfLargeBody(b *testing.B) {
-	body := make([]byte, 1<<20)
-	b.SetBytes(int64(len(body)))
-	for b.Loop() {
-		Identity([]byte("customer"), []byte("POST"), []byte("/path"), body)
+func BenchmarkIdentity(b *testing.B) {
+	for _, size := range []int{0, 4 << 10, 1 << 20} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				Identity([]byte("customer"), []byte("POST"), []byte("/path"), body)
+			}
+		})
 	}
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -21,6 +21,8 @@
 	DisconnectAfterRun bool          `json:"drop_after"` // runs the call, then closes the connection without a response
 	Frozen             bool          `json:"frozen"`     // runs the call and responds only after Frozen is cleared
 	RestSeconds        int           `json:"rest"`       // answers 503 with this Retry-After and does not run the call; 0 means never
+	EndUnder           string        `json:"end_under"`  // path of calls under which the service ends; empty for none
+	EndedFor           time.Duration `json:"ended_for"`  // until it is back then, in nanoseconds
 }
 
 // Service counts calls by the request ID in their Endiverill-Request-Id header.
@@ -30,6 +32,9 @@
 	requests []string
 	faults   Faults
 	unfrozen chan struct{} // closed when Frozen is cleared
+	listener net.Listener  // nil before Serve
+	ended    bool          // until it listens again
+	closed   bool
 }
 
 // New returns a service without faults that has run no calls.
@@ -81,10 +86,70 @@
 // Faults replaces the active faults, /health answers 200, and any other path
 // counts as a run of the request and returns a JSON record of it.
 func (service *Service) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{Handler: service.handle, NoDefaultServerHeader: true, Logger: logs.NopLogger{}}
-	return server.Serve(listener)
+	for {
+		service.mu.Lock()
+		service.listener, service.ended = listener, false
+		closed := service.closed
+		service.mu.Unlock()
+		if closed {
+			return listener.Close()
+		}
+		server := &fasthttp.Server{Handler: service.handle, NoDefaultServerHeader: true, Logger: logs.NopLogger{}}
+		err := server.Serve(listener)
+		if service.isClosed() {
+			return err
+		}
+		time.Sleep(service.endedFor())
+		if listener = service.listenAgain(listener.Addr().String()); listener == nil {
+			return nil
+		}
+	}
+}
+
+// Close ends Serve for good.
+func (service *Service) Close() {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.closed = true
+	if service.listener != nil {
+		_ = service.listener.Close()
+	}
+}
+
+func (service *Service) isClosed() bool {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return service.closed
+}
+
+func (service *Service) endedFor() time.Duration {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return service.faults.EndedFor
+}
+
+// listenAgain listens at the address of the service, nil once that is closed.
+func (service *Service) listenAgain(address string) net.Listener {
+	for !service.isClosed() {
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return listener
+		}
+		time.Sleep(listenRetryInterval) // an outgoing connection may have the port
+	}
+	return nil
 }
 
+// end closes the listener and the connection of the call under which the service ends.
+func (service *Service) end(conn net.Conn) {
+	service.mu.Lock()
+	service.ended = true
+	_ = service.listener.Close()
+	service.mu.Unlock()
+	_ = conn.Close()
+}
+
+const listenRetryInterval = 50 * time.Millisecond
+
 const maxRecordedRequests = 1000
 
 func (service *Service) handle(ctx *fasthttp.RequestCtx) {
@@ -102,6 +167,11 @@
 	}
 	id := string(ctx.Request.Header.Peek("Endiverill-Request-Id"))
 	service.mu.Lock()
+	if service.ended {
+		service.mu.Unlock()
+		_ = ctx.Conn().Close() // a connection from before the end
+		return
+	}
 	faults, unfrozen := service.faults, service.unfrozen
 	if faults.RestSeconds == 0 {
 		service.runs[id]++
@@ -117,6 +187,10 @@
 		return
 	}
 	time.Sleep(faults.Delay)
+	if path := string(ctx.Path()); path == faults.EndUnder && path != "" {
+		service.end(ctx.Conn())
+		return
+	}
 	if faults.Frozen {
 		<-unfrozen
 	}
