Report a first end under a whole request only for a second

After the end of a target each request that was there is suspected once, and most are sound. What two targets have ended under is reported as before.

--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -25,6 +25,7 @@
 	wholePlanner  = 2                      // ends after which only the entry that plans tries a whole request
 	maxTargets    = 8                      // of one whole request, whose ends are told apart
 	freshFor      = 10 * time.Second       // for which changes are in each report
+	firstEndFor   = time.Second            // for which the first end under a whole request is reported; most such requests are sound
 	fullReports   = 10                     // one in so many reports has all evidence
 	goodFor       = time.Minute            // for which a part is known as sound after an answer under it has begun
 	forgetAfter   = time.Minute            // from the end of a part's rest
@@ -265,11 +266,15 @@
 		case record.own.valid(record.begunAt):
 			evidence.Ends, evidence.Ended, evidence.Age, evidence.With = record.own.ends, record.own.ended, now.Sub(record.own.endAt), record.own.with
 		}
-		if since := now.Sub(quarantine.goodOf(part)[part]); since < goodFor {
+		if since := now.Sub(quarantine.goodOf(part)[part]); since < clearedFor || since < goodFor && !part.whole() {
 			evidence.Begun, evidence.Since = true, since
 		}
 		evidence.Trying = record.triedBy == "" && record.triedTil.After(now)
-		if evidence.Ends > 0 && (full || evidence.Age < freshFor) || evidence.Begun || evidence.Trying {
+		reported := full || evidence.Age < freshFor
+		if record.neverAnswered() && evidence.Ends == 1 {
+			reported = evidence.Age < firstEndFor
+		}
+		if evidence.Ends > 0 && reported || evidence.Begun || evidence.Trying {
 			report = append(report, evidence)
 		}
 	}
