--- a/kernel/permit/promise_test.go
+++ b/kernel/permit/promise_test.go
@@ -306,3 +306,11 @@
 		}
 	})
 }
+
+func BenchmarkTake(b *testing.B) {
+	issuer, now := NewIssuer(), start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		issuer.Take(target, 1.2, MaxAhead, now)
+	}
+}
