End the limit of a target only by a success without it

An error of a target without Server-Limit ended the limit, though it says nothing of it: 20 requests went there at once.

--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -35,14 +35,15 @@
 }
 
 // recordLimit records the limit that a target names in a response, or that it names none any
-// more. A refusal without a limit says nothing: the target may not have read the request.
+// more. A refusal or an error without a limit says nothing: the target may not have read the
+// request.
 func (gateway *Gateway) recordLimit(attempt *attempt, responseHead ResponseHead) {
 	key, now := attempt.target.Key(), gateway.clock.Now()
 	changed := false
 	gateway.mu.Lock()
 	if responseHead.Limited {
 		changed = gateway.dispatcher.RecordLimit(key, responseHead.Limit, now)
-	} else if responseHead.Sealed && !responseHead.NotRun {
+	} else if responseHead.Sealed && attempt.succeeds {
 		changed = gateway.dispatcher.RecordNoLimit(key, attempt.sentAt)
 	}
 	gateway.mu.Unlock()
