Check again soon whether a target that listened has ended

The result of a check stood for a second, so that a request that ended its target shortly after another answer of it had broken was not recognised. Found by reading; the test fails without the change (a target that listens was taken as sound for a second).

--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -23,6 +23,7 @@
 	begunAfter      = 100 * time.Millisecond // after its first event, an answer counts as begun without an end of its target
 	endCheckTimeout = 200 * time.Millisecond // of the connection that shows whether a target has ended
 	endCheckTTL     = time.Second            // for which the result is kept
+	listeningFor    = 50 * time.Millisecond  // for which a target counts as listening after a check
 )
 
 // suspectParts returns what a target may end under: the request as a whole, and the parts of
@@ -141,13 +142,23 @@
 	ended bool
 }
 
+// listens reports whether the check has found that the target still listens.
+func (endCheck *endCheck) listens() bool {
+	select {
+	case <-endCheck.done:
+		return !endCheck.ended
+	default:
+		return false
+	}
+}
+
 func newEndChecks() *endChecks { return &endChecks{checks: map[directory.TargetKey]*endCheck{}} }
 
 // ended reports whether nothing listens at the target's address any more.
 func (endChecks *endChecks) ended(ctx context.Context, target *directory.Target, now time.Time) bool {
 	endChecks.mu.Lock()
 	for key, check := range endChecks.checks {
-		if now.Sub(check.at) > endCheckTTL {
+		if now.Sub(check.at) > endCheckTTL || check.listens() && now.Sub(check.at) > listeningFor {
 			delete(endChecks.checks, key)
 		}
 	}
