Keep requests under which several targets ended in the store

The entry that plans writes an object when the set changes, each entry reads it once at its start. The hash of a request leaves the entries with that.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -57,6 +57,7 @@
 	Incarnation   uint64
 	Store         object.Store  // holds the planning lease
 	LeaseKey      string        // object key of the planning lease
+	WithheldKey   string        // object key of the withheld requests
 	RateWindow    time.Duration // sliding window over which customers' spending is limited
 	DrainBound    time.Duration // within which a draining target must stop getting new requests
 	ConfigBound   time.Duration // within which a new configuration must be in force
@@ -168,6 +169,7 @@
 	group.Go(func() error { return gateway.peers.run(ctx) })
 	group.Go(func() error { return gateway.planner.run(ctx) })
 	group.Go(func() error { return gateway.snapshots.run(ctx) })
+	group.Go(func() error { return (&withheldRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return gateway.callerWatch.run(ctx, gateway) })
 	group.Go(func() error { return gateway.expirePeriodically(ctx) })
 	group.Go(func() error {
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -278,8 +278,29 @@
 			report = append(report, evidence)
 		}
 	}
-	slices.SortFunc(report, func(left, right Evidence) int { return int(left.Age - right.Age) })
-	return report[:min(len(report), maxEvidence)]
+	return latest(report)
+}
+
+// Lasting returns the whole requests that no target has answered and under which several have
+// ended, the latest first.
+func (quarantine *Quarantine) Lasting(now time.Time) []Evidence {
+	quarantine.expire(now)
+	var lasting []Evidence
+	for part, record := range quarantine.records {
+		if !record.neverAnswered() {
+			continue
+		}
+		if ended := record.allEnded(); len(ended) >= wholePlanner {
+			lasting = append(lasting, Evidence{Part: part, Ends: len(ended), Ended: ended, Age: now.Sub(record.lastEnd())})
+		}
+	}
+	return latest(lasting)
+}
+
+// latest returns the evidence of the latest ends.
+func latest(evidence []Evidence) []Evidence {
+	slices.SortFunc(evidence, func(left, right Evidence) int { return int(left.Age - right.Age) })
+	return evidence[:min(len(evidence), maxEvidence)]
 }
 
 // Apply records the evidence that another entry has reported.
