Keep requests that ended several targets when too many are suspected

Each end of a target leaves a record of every request that was there. The oldest records were dropped beyond 512, so that a request that had ended three targets was forgotten after some ends of other causes. Records with one end are dropped first now; the new test fails without the change.

--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -158,6 +158,7 @@
 	current := entry.snapshot.Load()
 	replica, err := entry.pickReplica(current, completion.groupName, &completion.routeRequest)
 	if err != nil {
+		entry.withheld.recordOutcome(completion.identity, completion.request, "", err)
 		entry.reportMissingModel(completion.request.Model)
 		return err
 	}
--- a/entry/entry/quarantine.go
+++ b/entry/entry/quarantine.go
@@ -56,7 +56,8 @@
 	return nil
 }
 
-// recordOutcome records how an attempt of a request ended at a target, nil for an answer.
+// recordOutcome records how an attempt of a request ended: without a fault if a target has
+// answered. Target is empty if none was chosen.
 func (withheldRequests *withheldRequests) recordOutcome(identity []quarantine.Part, request *wire.Request, target string, fault *code.Fault) {
 	entry := withheldRequests.entry
 	now := entry.Clock().Now()
@@ -65,7 +66,7 @@
 	switch {
 	case fault == nil:
 		changed = withheldRequests.quarantine.RecordBegun(identity, now)
-	case fault.Code() == code.TargetEnded:
+	case fault.Code() == code.TargetEnded: // the fault does not name the incarnation, so that each end counts by its time
 		withheldRequests.quarantine.RecordEnd(identity, evidence.TargetHash(target, now.UnixNano()), now)
 		changed = true
 	default:
--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -25,8 +25,8 @@
 
 // planRunner competes for the lease by which one entry at a time decides which
 // models the targets hold. While it holds the lease, it runs the planner of
-// package residency and sends the resulting commands to agents, and holds the reserve of
-// retries.
+// package residency and sends the resulting commands to agents, holds the reserve of
+// retries and issues permits for limited targets without an agent.
 type planRunner struct {
 	gateway   *Gateway
 	driver    lease.Driver  // reads and writes the lease in the store
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -30,7 +30,7 @@
 	goodFor       = time.Minute            // for which a part is known as sound after an answer under it has begun
 	forgetAfter   = time.Minute            // from the end of a part's rest
 	clearedFor    = 5 * time.Second        // for which a part is still reported after an answer has cleared it
-	maxRecords    = 512                    // of suspected parts; those with the oldest ends are dropped first
+	maxRecords    = 512                    // of suspected parts; see dropOldest
 	maxGood       = 8192                   // parts of each kind under which answers have begun lately
 	maxEvidence   = 64                     // in one report
 )
@@ -278,7 +278,7 @@
 			report = append(report, evidence)
 		}
 	}
-	return latest(report)
+	return latestFirst(report)
 }
 
 // Lasting returns the whole requests that no target has answered and under which several have
@@ -294,11 +294,11 @@
 			lasting = append(lasting, Evidence{Part: part, Ends: len(ended), Ended: ended, Age: now.Sub(record.lastEnd())})
 		}
 	}
-	return latest(lasting)
+	return latestFirst(lasting)
 }
 
-// latest returns the evidence of the latest ends.
-func latest(evidence []Evidence) []Evidence {
+// latestFirst returns the evidence of the latest ends, maxEvidence of them at most.
+func latestFirst(evidence []Evidence) []Evidence {
 	slices.SortFunc(evidence, func(left, right Evidence) int { return int(left.Age - right.Age) })
 	return evidence[:min(len(evidence), maxEvidence)]
 }
@@ -474,14 +474,16 @@
 	}
 }
 
-// dropOldest drops the record with the oldest end.
+// dropOldest drops the record with the oldest end, of those with one end if there are any: each
+// end of a target leaves a record of every request that was there.
 func (quarantine *Quarantine) dropOldest() {
 	var oldest Part
 	var oldestAt time.Time
-	found := false
+	found, several := false, false
 	for part, record := range quarantine.records {
-		if _, last := record.count(); !found || last.Before(oldestAt) {
-			oldest, oldestAt, found = part, last, true
+		ends, last := record.count()
+		if !found || several && ends <= 1 || several == (ends > 1) && last.Before(oldestAt) {
+			oldest, oldestAt, found, several = part, last, true, ends > 1
 		}
 	}
 	delete(quarantine.records, oldest)
--- a/kernel/quarantine/whole_test.go
+++ b/kernel/quarantine/whole_test.go
@@ -60,6 +60,19 @@
 	assert.Equal(t, started.Check(parts, true, now).Ends, 2)
 }
 
+func TestRequestThatEndedSeveralTargetsIsForgottenAmongThoseThatWereThere(t *testing.T) {
+	quarantine, now := New(), start
+	for target := range uint32(3) {
+		quarantine.RecordEnd([]Part{Whole(1 << 40)}, target, now)
+	}
+	for sound := range uint64(2 * maxRecords) {
+		now = now.Add(time.Millisecond)
+		quarantine.RecordEnd([]Part{Whole(2 * sound)}, uint32(sound), now)
+	}
+	assert.Assert(t, !quarantine.Check([]Part{Whole(1 << 40)}, true, now).Allowed)
+	assert.Equal(t, len(quarantine.records), maxRecords)
+}
+
 // wholeFleet plays requests of which some end their target, and with it all that are there.
 type wholeFleet struct {
 	taintedFleet
