Use shares of a limit only long after this entry itself has planned

An entry that had lost the lease took its share at once, since it counted the silence of others only, while another entry may already issue permits. The new test fails without the change.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -51,7 +51,7 @@
 	agentStates        map[directory.TargetKey]agentState               // last messages of agents
 	demand             map[string]float64                               // demand by model since the start of the process, in prompt tokens
 	peerStates         map[netip.AddrPort]peerState                     // last messages of entries
-	plannerSeen        time.Time                                        // when a message of an entry that plans last arrived, or the start of this one
+	plannerSeen        time.Time                                        // when this entry planned last, or a message of another one that plans arrived; at first its start
 	ownShare           *permit.Issuer                                   // of the share of permits of this entry
 }
 
@@ -257,6 +257,9 @@
 	state.Leaving = leaving
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
+	if state.PlanFence != 0 {
+		peers.plannerSeen = now
+	}
 	if peers.socket == nil || peers.left {
 		return
 	}
