Let callers pause in the property test of limits

An issuer that granted nine permits at once after a pause passed the test, since callers never paused for long enough. With pauses of 8 s it fails at 4 and 29 entries; the real one passes.

--- a/kernel/permit/promise_test.go
+++ b/kernel/permit/promise_test.go
@@ -29,6 +29,7 @@
 	maxTransit    = 300 * time.Millisecond
 	gossipSpacing = 200 * time.Millisecond // between two messages of an entry, for each eight entries
 	historyLasts  = 20 * time.Second
+	pauseTicks    = 160 // between two changes, if callers pause
 )
 
 var (
@@ -66,6 +67,7 @@
 	entries   []*simulatedEntry
 	holder    *simulatedEntry
 	issuer    *Issuer
+	quiet     bool // callers pause
 	renewed   time.Time
 	firstTold time.Time
 	underway  []arrival
@@ -188,7 +190,7 @@
 	fleet.receive()
 	fleet.gossip()
 	for _, entry := range fleet.entries {
-		if entry.callersEvery > 0 && fleet.random.IntN(entry.callersEvery) == 0 && fleet.works(entry) {
+		if entry.callersEvery > 0 && !fleet.quiet && fleet.random.IntN(entry.callersEvery) == 0 && fleet.works(entry) {
 			fleet.ask(entry)
 		}
 	}
@@ -245,6 +247,7 @@
 				for _, entry := range fleet.entries[:min(withCallers, entries)] {
 					entry.callersEvery = every
 				}
+				pauses := rapid.Bool().Draw(t, "callers pause")
 				steps := int(historyLasts / tick)
 				disturbances := rapid.SliceOfN(rapid.IntRange(0, steps-1), 0, 6).Draw(t, "steps of disturbances")
 				kinds := rapid.SliceOfN(rapid.IntRange(0, 3), 6, 6).Draw(t, "kinds")
@@ -254,6 +257,7 @@
 							fleet.disturb(kinds[index])
 						}
 					}
+					fleet.quiet = pauses && step%(2*pauseTicks) >= pauseTicks
 					fleet.step()
 				}
 				allowed := int(ruleFactor*perSecond*ruleWindow.Seconds() + ruleSlack)
