--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -28,7 +28,6 @@
 	commandTimeout     = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
 	storeLoadFraction  = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
 	maxVictimWork      = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
-	requestSmoothing   = 0.02                    // weight of the newest request in the mean size of requests
 	maxVictims         = 2                       // models that one command unloads
 	maxSwaps           = 4                       // commands with an unload in one Plan call; the next call sees their effect
 )
@@ -91,38 +90,6 @@
 	estimate.rate += tokens / demandTimeConstant.Seconds()
 }
 
-// RecordRequestSize records the tokens of one request.
-func (planner *Planner) RecordRequestSize(tokens float64) {
-	if planner.meanSize == 0 {
-		planner.meanSize = tokens
-	}
-	planner.meanSize += requestSmoothing * (tokens - planner.meanSize)
-}
-
-// overLimit reports for each target whether its share of the work of a service, in tokens per
-// second, is more than its limit lets it take. If that holds for all, it is false for all.
-func (planner *Planner) overLimit(targets []Target, service string, work float64) []bool {
-	over, usable, remaining := make([]bool, len(targets)), 0, 0
-	for _, target := range targets {
-		if target.Service == service && !target.Unusable {
-			usable++
-		}
-	}
-	for index, target := range targets {
-		if target.Service != service || target.Unusable {
-			continue
-		}
-		over[index] = target.Limited && target.MaxRequests*planner.meanSize < work/float64(usable)
-		if !over[index] {
-			remaining++
-		}
-	}
-	if remaining == 0 {
-		clear(over)
-	}
-	return over
-}
-
 func (demandEstimate *demandEstimate) decay(now time.Time) {
 	elapsed := now.Sub(demandEstimate.updatedAt)
 	if elapsed <= 0 {
--- a/kernel/wire/evidencenotice.go
+++ b/kernel/wire/evidencenotice.go
@@ -2,8 +2,8 @@
 
 import "google.golang.org/protobuf/encoding/protowire"
 
-// EvidenceNotice tells an entry what another one has seen of requests under which targets
-// ended.
+// EvidenceNotice carries what an entry has seen of requests under which targets ended to
+// another one.
 type EvidenceNotice struct {
 	Entry    string // address at which the sender accepts calls of its peers
 	Suspects []PartEvidence
