--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -35,8 +35,8 @@
 }
 
 // recordLimit records the limit that a target names in a response, or that it names none any
-// more. A refusal or an error without a limit says nothing: the target may not have read the
-// request.
+// more. A refusal or an error without a limit does not end it: the target may not have read
+// the request.
 func (gateway *Gateway) recordLimit(attempt *attempt, responseHead ResponseHead) {
 	key, now := attempt.target.Key(), gateway.clock.Now()
 	changed := false
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/quarantine"
 )
 
 func TestEndOfTargetIsMissedShortlyAfterBrokenAnswer(t *testing.T) {
@@ -21,3 +23,25 @@
 	assert.Assert(t, checks.ended(context.Background(), target, now.Add(2*listeningFor)))
 	assert.Assert(t, checks.ended(context.Background(), target, now.Add(4*listeningFor)), "the end of an incarnation is for good")
 }
+
+func TestRequestsOfOtherCallersOrBodiesHaveOneIdentity(t *testing.T) {
+	newRequest := func(id, path, body string) *fasthttp.Request {
+		request := &fasthttp.Request{}
+		request.Header.SetMethod("POST")
+		request.Header.SetRequestURI(path)
+		request.Header.SetHost("h")
+		request.Header.Set("Request-Id", id)
+		request.SetBodyString(body)
+		return request
+	}
+	identity := requestIdentity("c", newRequest("1", "/a/%2F?x=1", "b"))
+	assert.Equal(t, requestIdentity("c", newRequest("2", "/a/%2F?x=1", "b")), identity, "another attempt")
+	for name, other := range map[string]quarantine.Part{
+		"caller": requestIdentity("d", newRequest("1", "/a/%2F?x=1", "b")),
+		"query":  requestIdentity("c", newRequest("1", "/a/%2F?x=2", "b")),
+		"path":   requestIdentity("c", newRequest("1", "/a//?x=1", "b")),
+		"body":   requestIdentity("c", newRequest("1", "/a/%2F?x=1", "c")),
+	} {
+		assert.Assert(t, other != identity, name)
+	}
+}
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -23,7 +23,7 @@
 	wholeRest     = 4 * time.Second        // for which a request that no target has answered is withheld after the second end; longer than targets need to come back
 	wholeMaxRest  = 24 * time.Hour         // the same from the third end on
 	wholePlanner  = 2                      // ends after which only the entry that plans tries a whole request
-	maxTargets    = 8                      // of one whole request, whose ends are told apart
+	maxTargets    = 8                      // of one whole request, whose ends are counted separately
 	freshFor      = 10 * time.Second       // for which changes are in each report
 	firstEndFor   = time.Second            // for which the first end under a whole request is reported; most such requests are sound
 	fullReports   = 10                     // one in so many reports has all evidence
--- a/kernel/quarantine/whole_test.go
+++ b/kernel/quarantine/whole_test.go
@@ -49,6 +49,16 @@
 	assert.Assert(t, quarantine.Check(parts, false, now).Trial)
 }
 
+func TestWholeRequestIsForgottenWhenItsRestIsOver(t *testing.T) {
+	quarantine, parts := New(), []Part{Whole(8)}
+	for target := range uint32(3) {
+		quarantine.RecordEnd(parts, target, start)
+	}
+	assert.Equal(t, len(quarantine.Lasting(start.Add(wholeMaxRest))), 1)
+	assert.Equal(t, len(quarantine.Lasting(start.Add(wholeMaxRest+forgetAfter+time.Second))), 0)
+	assert.Equal(t, len(quarantine.records), 0)
+}
+
 func TestStartedEntryDoesNotLearnOfEndsThatAStoppedOneSaw(t *testing.T) {
 	first, second, started := New(), New(), New()
 	parts := []Part{Whole(8)}
