Log which software version of which target makes the events of a stream

No log held a version. Each attempt whose events are passed on logs one line with target, its start, service, software version, last event and the attempt that it takes up. No decision reads them yet.

An incarnation that an agent's message shows before the list does has no version until the list shows it.

--- a/entry/gateway/headercodec.go
+++ b/entry/gateway/headercodec.go
@@ -28,6 +28,7 @@
 	Output    int             // tokens, upper bound
 	Parts     []dispatch.Part // parts of the prompt, for matching with the targets' prefix caches
 	LastEvent string          // ID of the last event that the caller received, empty for none
+	Resumes   string          // ID of the caller's attempt that brought the first event of the stream that this one takes up, empty for none
 }
 
 // ForwardHeaders holds what the gateway adds to the headers of a request to a target.
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -48,6 +48,8 @@
 	received    int                // bytes of the body
 	maxBytes    int                // that a stream may have
 	buffer      []byte
+
+	sourceLogged *attempt // the last one that logSource has logged
 }
 
 func newCompleteRelay(response *exchange.Response, body []byte, attempt *attempt) *relay {
@@ -181,6 +183,7 @@
 	}
 	end := len(relay.partial) - len(data) + complete
 	relay.pending = append(relay.pending[:0], relay.partial[:end]...)
+	relay.logSource()
 	if id := lastEventID(relay.pending); id != "" {
 		relay.lastID = id
 	}
@@ -188,6 +191,18 @@
 	return nil
 }
 
+// logSource logs once for each attempt which software version makes the events that are
+// passed on.
+func (relay *relay) logSource() {
+	if relay.sourceLogged == relay.attempt {
+		return
+	}
+	relay.sourceLogged = relay.attempt
+	target, head := relay.attempt.target, &relay.call.head
+	relay.call.gateway.log.Infof("stream %q has events of target %s, started at Unix ms %d, service %q, software version %q, after event %q; it takes up %q",
+		head.ID, target.ID(), target.StartedAt(), target.Service(), target.Software(), head.LastEvent, head.Resumes)
+}
+
 // lastEventID returns the ID of the last of the events that has one, empty for
 // none.
 func lastEventID(events []byte) string {
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -16,6 +16,7 @@
 	Draining   bool  // the target takes no new requests
 	StartedAt  int64 // start time in Unix milliseconds, 0 if unknown
 	Models     []ResidentModel
+	Software   string // version of the software that the target runs, empty if unknown
 }
 
 // ResidentModel is a model that a target holds, with the adapters that it holds.
@@ -42,10 +43,11 @@
 func (target *Target) StartedAt() int64 { return target.spec.StartedAt }
 
 // Restarted returns the target's next incarnation at the same address, with the
-// given ID and start time in Unix milliseconds. It holds no models.
+// given ID and start time in Unix milliseconds. It holds no models, and its software
+// version is not known.
 func (target *Target) Restarted(id string, startedAt int64) *Target {
 	spec := target.spec
-	spec.ID, spec.StartedAt, spec.Draining, spec.Models = id, startedAt, false, nil
+	spec.ID, spec.StartedAt, spec.Draining, spec.Models, spec.Software = id, startedAt, false, nil, ""
 	return NewTarget(spec)
 }
 
@@ -79,6 +81,10 @@
 // Draining reports whether the target takes no new requests.
 func (target *Target) Draining() bool { return target.spec.Draining }
 
+// Software returns the version of the software that the target runs, empty if it is not
+// known. It is not the version of the weights of a model.
+func (target *Target) Software() string { return target.spec.Software }
+
 // Models returns the models that the target holds according to the list.
 func (target *Target) Models() []ResidentModel { return target.spec.Models }
 
