Keep a stream that an entry goes on with to the software version that began it

Nothing read a target's software version; the target of a stream that goes on was chosen like that of any request.

Change: a request carries whether it goes on with a stream, and the version that made the events that its caller has. The dispatcher then chooses only among targets of that version, the gateway asks again before it sends and when the response has begun, and refuses at once with code 1416, not run, if no target of the version takes work. A stream whose target gave no event yet may begin anywhere. Where no target of a service has a version, nothing changes. A stream that goes on is not refused for the length of a queue within its caller's time, as that caller has waited already.

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -36,6 +36,8 @@
 	identity   quarantine.Part   // of the request as a whole
 	suspects   []quarantine.Part // identity, and shared parts of the prompt
 	permit     heldPermit        // for the next request to a limited target
+
+	originRecorded bool // see recordOrigin
 }
 
 // String returns what the call asks for, as it stands in log lines.
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -60,11 +60,19 @@
 	}
 }
 
-// usable reports whether the target still takes new requests.
-func (gateway *Gateway) usable(target *directory.Target) bool {
+// usable reports whether the target still takes new requests and suits the call.
+func (gateway *Gateway) usable(call *call, target *directory.Target) bool {
+	gateway.mu.Lock()
+	usable := gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
+	gateway.mu.Unlock()
+	return usable && gateway.suits(call, target)
+}
+
+// suits reports whether the target is known to run the software version that the call needs.
+func (gateway *Gateway) suits(call *call, target *directory.Target) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return gateway.dispatcher.Usable(target.Key(), gateway.clock.Now())
+	return gateway.dispatcher.Suits(target.Key(), &call.placement, gateway.clock.Now())
 }
 
 // declinedRetryAfter returns after how long a call that its last target has declined should
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -183,6 +183,7 @@
 	}
 	end := len(relay.partial) - len(data) + complete
 	relay.pending = append(relay.pending[:0], relay.partial[:end]...)
+	relay.call.recordOrigin(relay.attempt)
 	relay.logSource()
 	if id := lastEventID(relay.pending); id != "" {
 		relay.lastID = id
@@ -254,6 +255,7 @@
 		if fault == nil {
 			next.abandon()
 		}
+		gateway.log.Infof("stream %q does not go on after event %q at software version %q: %v", call.head.ID, relay.lastID, call.placement.Software, fault)
 		return errors.Wrap(errTruncated, "no other target resumed the stream")
 	}
 	gateway.metrics.Add("streams.resumed", 1)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -372,6 +372,8 @@
 		return code.New(code.TargetsResting, code.RanNo, "each target that could take the request has asked for a rest").WithRetryAfter(retry.Spread(refuse.RetryAfter, randomFraction()))
 	case dispatch.Limited:
 		return code.New(code.TargetsLimited, code.RanNo, "each target that could take the request has used up the limit that it names, or rests").WithRetryAfter(retry.Spread(refuse.RetryAfter, randomFraction()))
+	case dispatch.NoVersion:
+		return code.New(code.NoVersion, code.RanNo, "no target that takes work and holds the model runs the software version that began the stream")
 	case dispatch.NotResident, dispatch.Loading:
 		return code.New(code.NoReplica, code.RanNo, "no target holds the model").WithRetryAfter(refuse.RetryAfter)
 	case dispatch.TooLarge:
@@ -387,8 +389,8 @@
 	if !gateway.usePermit(call, target) {
 		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetsLimited, code.RanNo, "the target has named a limit, and the request has no permit").WithRetryAfter(defaultRetryAfter)}
 	}
-	if !gateway.usable(target) {
-		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves or is at rest").WithRetryAfter(defaultRetryAfter)}
+	if !gateway.usable(call, target) {
+		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves, is at rest or may run another software version").WithRetryAfter(defaultRetryAfter)}
 	}
 	verdict := call.quarantineVerdict() // again, since the call may have waited
 	if !verdict.Allowed {
@@ -419,6 +421,10 @@
 		response.Abort()
 		attempt.end(dispatch.Failed)
 		return attemptResult{ran: code.RanUnknown, fault: code.New(code.StreamCut, code.RanUnknown, "target %s gave an answer that is not its own", target.ID())}
+	case call.route.Kind() == directory.Stream && !gateway.suits(call, target):
+		response.Abort()
+		attempt.end(dispatch.Failed)
+		return attemptResult{ran: code.RanUnknown, fault: code.New(code.StreamCut, code.RanUnknown, "target %s may run another software version", target.ID())}
 	case call.route.Kind() == directory.Stream:
 		return attemptResult{relay: newStreamRelay(response, attempt), ran: code.RanYes}
 	}
--- a/kernel/code/code.go
+++ b/kernel/code/code.go
@@ -45,6 +45,7 @@
 	RequestWithheld Code = 1412
 	TargetsLimited  Code = 1413
 	TargetEnded     Code = 1414
+	NoVersion       Code = 1416
 	StoreDown       Code = 1501
 	StillRunning    Code = 1502
 	Stopping        Code = 1601
@@ -106,6 +107,7 @@
 	RequestWithheld: {RequestWithheld, "request-withheld", 503, "Targets have ended when they began to answer this request, or prompts with a part of this one; it is tried again later."},
 	TargetsLimited:  {TargetsLimited, "targets-limited", 503, "Each target that could take the request has used up the limit that it names."},
 	TargetEnded:     {TargetEnded, "target-ended", 502, "The target ended while it ran the request."},
+	NoVersion:       {NoVersion, "no-version", 503, "No target that could take the stream runs the software version that began it; it can only begin anew."},
 	CallerGone:      {CallerGone, "caller-gone", 499, "The caller closed its connection."},
 	StoreDown:       {StoreDown, "store-down", 503, "The platform's object API does not answer, so the request could not be recorded."},
 	StillRunning:    {StillRunning, "still-running", 409, "A request of the same ID is on record and has not ended."},
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -34,16 +34,17 @@
 // offset that moves with each request sent, which bounds the time of a choice.
 func (dispatcher *Dispatcher) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
 	best := candidate{}
-	holders, fitting := 0, 0
+	holders, fitting, suitable := 0, 0, 0
 	shortest := Refuse{} // for the target at rest or without a permit that is back first
 	candidates := dispatcher.candidates(request.Service, request.Model)
 	preferred := dispatcher.preferredTarget(candidates, request)
 	first := dispatcher.firstEvaluated(len(candidates))
 	for index := range candidates {
 		replica := candidates[(first+index)%len(candidates)]
-		if replica.leaving() {
+		if replica.leaving() || request.Continues && !dispatcher.runs(replica, request.Software, now) {
 			continue
 		}
+		suitable++
 		if reason, left := replica.withheld(now); left > 0 {
 			if shortest.RetryAfter == 0 || left < shortest.RetryAfter {
 				shortest = Refuse{Reason: reason, RetryAfter: left}
@@ -71,6 +72,8 @@
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
 	case shortest.RetryAfter > 0:
 		return shortest
+	case request.Continues && suitable == 0:
+		return Refuse{Reason: NoVersion}
 	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
@@ -200,7 +203,7 @@
 // it must be. It refuses a request for a model if the first event would be too late
 // or the request would queue for too long; RetryAfter is the time in which the
 // wait, or the queueing, falls to half of its limit. It refuses no request to a
-// plain service.
+// plain service. A stream that goes on may queue for as long as its caller waits.
 func (candidate candidate) admit(request *Request, now time.Time) Decision {
 	if request.Model != "" {
 		maxWait := time.Duration(float64(request.StartBy.Sub(now)) * maxWaitFraction)
@@ -210,7 +213,7 @@
 			return Refuse{Reason: NoSpare, RetryAfter: defaultRetryAfter, Estimate: candidate.estimate(request, now)}
 		case candidate.wait > maxWait:
 			return Refuse{Reason: Saturated, RetryAfter: max(candidate.wait-maxWait/2, minRetryAfter), Estimate: candidate.estimate(request, now)}
-		case request.Objective > 0 && candidate.wait-candidate.promptReadTime > maxQueueTime:
+		case request.Objective > 0 && !request.Continues && candidate.wait-candidate.promptReadTime > maxQueueTime:
 			return Refuse{Reason: Saturated, RetryAfter: max(candidate.wait-candidate.promptReadTime-maxQueueTime/2, minRetryAfter), Estimate: candidate.estimate(request, now)}
 		}
 	}
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	notices          map[directory.TargetKey]*notice
 	lastAttempt      uint64               // number of the newest attempt
 	loading          map[string]time.Time // expected end of each load in progress, by model
+	versioned        map[string]bool      // services with a listed target whose software version is known
 	catalogue        *directory.Directory
 }
 
@@ -44,6 +45,7 @@
 func (dispatcher *Dispatcher) SetTargets(targets []*directory.Target) {
 	listed := map[directory.TargetKey]bool{}
 	dispatcher.services, dispatcher.modelIndex = map[string][]*replica{}, modelIndex{}
+	dispatcher.versioned = map[string]bool{}
 	clear(dispatcher.preferredTargets)
 	for _, target := range targets {
 		key := target.Key()
@@ -59,6 +61,9 @@
 			known.setModels(target.Models())
 		}
 		dispatcher.services[target.Service()] = append(dispatcher.services[target.Service()], known)
+		if target.Software() != "" {
+			dispatcher.versioned[target.Service()] = true
+		}
 		dispatcher.modelIndex.addAll(known)
 	}
 	for key, replica := range dispatcher.replicas {
--- a/kernel/dispatch/request.go
+++ b/kernel/dispatch/request.go
@@ -38,6 +38,8 @@
 	EventGap        time.Duration // longest pause between events that is in time; 0 if the route states none
 	StartBy         time.Time     // latest first event, after which the caller leaves
 	Deadline        time.Time     // latest end
+	Continues       bool          // a stream that has begun, so that only a target that runs Software can take it
+	Software        string        // software version that began the stream, if Continues; empty if no target of the service has one
 	keys            []uint32      // result of partKeys, computed on first use
 }
 
@@ -158,5 +160,6 @@
 	NoSpare     Reason = "no-spare"     // the request is above the customer's rate, and no target is idle enough to serve it
 	Resting     Reason = "resting"      // each target that could take the request has asked for a rest
 	Limited     Reason = "limited"      // each target that could take the request has used up the limit that it names, or rests
+	NoVersion   Reason = "no-version"   // no target that could take the request runs the software version that began the stream
 	TooLarge    Reason = "too-large"    // the request needs more KV cache than any target has that could take it
 )
