Let a stream that its caller takes up go on only at the version that began it

Cause: the entry that gets the stream did not know where it began; Resumes was not read, and passed on to targets. The class of the fault: a fact that one entry knows, needed at another.

Change: at a stream's first event the entry records its origin (a hash of service and version) under a hash of customer and Request-Id, and sends it to two other entries, chosen by rendezvous hashing; an entry that stops hands its records over, one that starts gets those that it should keep. A known origin binds the call to its service and version. An unknown one is joined only where one version alone serves and has served as long as the stream may have lasted, by a list not older than 3 s; the versions lately seen are kept in the store, so that this is known after all entries have been killed. Else the stream is refused at once: 503, not run, code 1415 (origin unknown) or 1416 (version gone). Where no target of a route's services has a version, nothing changes.

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -19,7 +19,8 @@
 type call struct {
 	gateway    *Gateway
 	request    *fasthttp.Request
-	head       RequestHead // LastEvent advances when a stream is resumed
+	head       RequestHead          // LastEvent advances when a stream is resumed
+	directory  *directory.Directory // by which the call was admitted
 	route      *directory.Route
 	customer   *directory.Customer
 	service    string
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -58,6 +58,7 @@
 	Store         object.Store  // holds the planning lease
 	LeaseKey      string        // object key of the planning lease
 	WithheldKey   string        // object key of the withheld requests
+	VersionsKey   string        // object key of the software versions that serve
 	RateWindow    time.Duration // sliding window over which customers' spending is limited
 	DrainBound    time.Duration // within which a draining target must stop getting new requests
 	ConfigBound   time.Duration // within which a new configuration must be in force
@@ -94,6 +95,7 @@
 	limiter       *ratelimit.Limiter
 	quarantine    *quarantine.Quarantine
 	endChecks     *endChecks // has a lock of its own
+	origins       *origins   // has a lock of its own
 }
 
 // New returns a gateway that does not serve until Run.
@@ -119,6 +121,7 @@
 	gateway.peers = newPeers(gateway)
 	gateway.planner = newPlanRunner(gateway)
 	gateway.snapshots = newSnapshots(gateway)
+	gateway.origins = newOrigins(gateway)
 	gateway.server = &fasthttp.Server{
 		Handler:                      gateway.handle,
 		ErrorHandler:                 gateway.handleParseError,
@@ -170,6 +173,7 @@
 	group.Go(func() error { return gateway.planner.run(ctx) })
 	group.Go(func() error { return gateway.snapshots.run(ctx) })
 	group.Go(func() error { return (&withheldRecord{gateway: gateway}).run(ctx) })
+	group.Go(func() error { return (&versionRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return gateway.callerWatch.run(ctx, gateway) })
 	group.Go(func() error { return gateway.expirePeriodically(ctx) })
 	group.Go(func() error {
@@ -278,6 +282,7 @@
 		}
 		gateway.sleep(ctx, stopPollInterval)
 	}
+	gateway.origins.handOver()
 	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
 	gateway.log.Infof("stopped, %d requests were open", gateway.callers.activeRequests())
 	return ctx.Err()
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -19,6 +19,10 @@
 		peers.answerRetryRequest(from, message)
 	case *wire.PermitRequest:
 		peers.answerPermitRequest(from, message)
+	case *wire.StreamOrigins:
+		peers.gateway.origins.receive(message)
+	case *wire.OriginRequest:
+		peers.gateway.origins.answer(from, message)
 	case *wire.CommandResult:
 		peers.mu.Lock()
 		results := peers.results[message.ID]
@@ -49,12 +53,21 @@
 	}
 	gateway.applyEvidence(name, state.Suspects, now)
 	gateway.applyLimits(state.Limits, now)
+	if started := peers.applyEntryState(from, state, now); started {
+		gateway.origins.sendTo(from)
+	}
+}
+
+// applyEntryState records another entry's state, and reports whether the entry has started
+// since its last message.
+func (peers *peers) applyEntryState(from netip.AddrPort, state *wire.EntryState, now time.Time) (started bool) {
+	gateway := peers.gateway
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.Leaving {
 		delete(peers.entries, from)
 		delete(peers.peerStates, from)
-		return
+		return false
 	}
 	newerConfig, newerList := gateway.syncer.observePeer(state)
 	if newerConfig {
@@ -90,6 +103,7 @@
 		incarnation: state.Incarnation, demand: demand, planFence: state.PlanFence, at: now,
 		versions: map[wire.DocumentKind]uint64{wire.DocumentConfig: state.Version, wire.DocumentTargets: state.ListVersion},
 	}
+	return !sameIncarnation
 }
 
 // receiveTarget handles an agent's message.
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -30,6 +30,9 @@
 	call, fault := gateway.accept(ctx)
 	if fault == nil {
 		gateway.callerWatch.add(call, conn)
+		fault = call.takeUp()
+	}
+	if fault == nil {
 		fault = call.charge()
 	}
 	if fault == nil {
@@ -148,7 +151,6 @@
 	if call.gateway.ending.Load() || call.gateway.draining.Err() != nil && route.Kind() == directory.Stream {
 		return stoppingFault()
 	}
-	call.service = route.PickService(randomFraction())
 	call.deadline = call.arrived.Add(defaultTimeout)
 	if route.Timeout() > 0 {
 		call.deadline = call.arrived.Add(route.Timeout())
@@ -156,6 +158,15 @@
 	if timeout := call.head.Timeout; timeout > 0 && (route.Timeout() == 0 || timeout < route.Timeout()) {
 		call.deadline = call.arrived.Add(timeout - responseMargin)
 	}
+	call.directory = current
+	call.setService(route.PickService(randomFraction()))
+	return nil
+}
+
+// setService sets the service that the call goes to, and what a target is chosen by.
+func (call *call) setService(name string) {
+	route := call.route
+	call.service = name
 	urgency := route.Priority()
 	if call.customer != nil {
 		urgency = call.customer.Urgency(urgency)
@@ -167,19 +178,14 @@
 	if timeout := route.EventTimeout(); timeout > 0 && timeout < call.deadline.Sub(call.arrived) {
 		call.placement.StartBy = call.arrived.Add(timeout)
 	}
-	customerName := ""
-	if call.customer != nil {
-		customerName = call.customer.Name()
-	}
-	call.identity = requestIdentity(customerName, call.request)
+	call.identity = requestIdentity(call.customerName(), call.request)
 	call.suspects = []quarantine.Part{call.identity}
-	if service := current.Service(call.service); service != nil && service.Engine() != nil {
+	if service := call.directory.Service(call.service); service != nil && service.Engine() != nil {
 		call.placement.Model, call.placement.Adapter = call.head.Model, call.head.Adapter
 		call.placement.PromptTokens, call.placement.MaxOutputTokens = call.head.Prompt, call.head.Output
 		call.placement.Parts = call.head.Parts
 		call.suspects = suspectParts(call.service, call.identity, call.placement.SharedIDs())
 	}
-	return nil
 }
 
 // charge takes the cost of the request from the customer's rate. When the request can be
--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -337,6 +338,7 @@
 	syncer.logLeaving(listed, version, origin)
 	origin.record(syncer.listFreshness, version)
 	syncer.listed, syncer.list = listed, &document{version: version, content: content}
+	gateway.origins.observe(listed, now)
 	syncer.setTargets(syncer.targetTracker.Update(listed, origin.at), now)
 	if !gateway.targetsKnown.Swap(true) {
 		gateway.log.Infof("list of %d targets received, %d entries skipped", len(syncer.targets), skipped)
@@ -389,6 +391,17 @@
 	})
 }
 
+// listAge returns the time since the list in force was last known to be the newest.
+func (syncer *syncer) listAge() time.Duration {
+	syncer.mu.Lock()
+	defer syncer.mu.Unlock()
+	age, known := syncer.listFreshness.Age(syncer.gateway.clock.Now())
+	if !known {
+		return time.Duration(math.MaxInt64)
+	}
+	return age
+}
+
 // needsSnapshot reports whether this entry is not ready and its last read from
 // the platform failed, so that only a peer can provide the documents.
 func (syncer *syncer) needsSnapshot() bool {
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -1,8 +1,102 @@
 package gateway
 
+import (
+	"time"
+
+	"endiverill.example/kernel/code"
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/stream"
+)
+
+const (
+	unknownRetryAfter = 100 * time.Millisecond // of a stream whose origin is not known; another entry may know it
+	maxSoleListAge    = 3 * time.Second        // of a list that shows that one version serves alone
+)
+
+// takesUp reports whether the call is to go on with a stream that an earlier attempt of the
+// caller began.
+func (call *call) takesUp() bool {
+	return call.route.Kind() == directory.Stream && (call.head.LastEvent != "" || call.head.Resumes != "")
+}
+
+// takeUp restricts a call that takes a stream up to the service and the software version that
+// began it. Where targets have no versions, it does nothing.
+func (call *call) takeUp() *code.Fault {
+	if !call.takesUp() || !call.versioned() {
+		return nil
+	}
+	gateway := call.gateway
+	gateway.metrics.Add("streams.taken_up", 1)
+	service, software, fault := call.findOrigin()
+	if fault != nil {
+		gateway.log.Infof("stream %q is not taken up after event %q: %s; attempt %q", call.head.ID, call.head.LastEvent, fault.Message(), call.shownResumes())
+		return fault
+	}
+	gateway.log.Infof("stream %q is taken up after event %q of attempt %q, which service %q, software version %q began",
+		call.head.ID, call.head.LastEvent, call.shownResumes(), service, software)
+	call.setService(service)
+	call.placement.Continues, call.placement.Software = true, software
+	return nil
+}
+
+// findOrigin returns which service and software version began the stream that the call takes up.
+func (call *call) findOrigin() (service, software string, fault *code.Fault) {
+	gateway, services := call.gateway, call.route.Services()
+	if call.head.Resumes != "" {
+		origin, known := gateway.origins.origin(call.ctx, stream.NewID(call.customerName(), call.head.Resumes))
+		if fault := call.endFault(code.RanNo); fault != nil {
+			return "", "", fault
+		}
+		if known {
+			service, software, ok := gateway.origins.find(origin, services)
+			if !ok {
+				gateway.metrics.Add("streams.refused.version", 1)
+				return "", "", code.New(code.NoVersion, code.RanNo, "the software version that began the stream no longer serves")
+			}
+			return service, software, nil
+		}
+	}
+	if len(services) == 1 && gateway.syncer.listAge() <= maxSoleListAge {
+		if software, sole := gateway.origins.sole(services[0], streamRetention(call.route)); sole {
+			gateway.metrics.Add("streams.sole_version", 1)
+			return services[0], software, nil
+		}
+	}
+	gateway.metrics.Add("streams.refused.unknown", 1)
+	return "", "", code.New(code.OriginUnknown, code.RanNo, "it is not known which software version began the stream, and several have served").
+		WithRetryAfter(unknownRetryAfter)
+}
+
+// versioned reports whether the targets of a service of the call's route have software versions.
+func (call *call) versioned() bool {
+	gateway := call.gateway
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	for _, service := range call.route.Services() {
+		if gateway.dispatcher.Versioned(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// shownResumes returns the attempt that the caller names, cut to a length for the log.
+func (call *call) shownResumes() string {
+	return call.head.Resumes[:min(len(call.head.Resumes), maxShownID)]
+}
+
+const maxShownID = 64 // bytes
+
+func (call *call) customerName() string {
+	if call.customer == nil {
+		return ""
+	}
+	return call.customer.Name()
+}
+
 // recordOrigin restricts the call, whose caller is about to get events of the attempt, to the
-// software version that makes them. If the version is not known, it is called again with later
-// events.
+// software version that makes them, and has it recorded for callers that take the stream up.
+// If the version is not known, it is called again with later events.
 func (call *call) recordOrigin(attempt *attempt) {
 	if call.originRecorded {
 		return
@@ -19,4 +113,7 @@
 	}
 	call.originRecorded = true
 	call.placement.Software = software
+	if software != "" {
+		gateway.origins.record(call, target, software)
+	}
 }
--- a/kernel/code/code.go
+++ b/kernel/code/code.go
@@ -45,6 +45,7 @@
 	RequestWithheld Code = 1412
 	TargetsLimited  Code = 1413
 	TargetEnded     Code = 1414
+	OriginUnknown   Code = 1415
 	NoVersion       Code = 1416
 	StoreDown       Code = 1501
 	StillRunning    Code = 1502
@@ -107,6 +108,7 @@
 	RequestWithheld: {RequestWithheld, "request-withheld", 503, "Targets have ended when they began to answer this request, or prompts with a part of this one; it is tried again later."},
 	TargetsLimited:  {TargetsLimited, "targets-limited", 503, "Each target that could take the request has used up the limit that it names."},
 	TargetEnded:     {TargetEnded, "target-ended", 502, "The target ended while it ran the request."},
+	OriginUnknown:   {OriginUnknown, "origin-unknown", 503, "It is not known which software version began the stream, and targets of several versions serve or have served."},
 	NoVersion:       {NoVersion, "no-version", 503, "No target that could take the stream runs the software version that began it; it can only begin anew."},
 	CallerGone:      {CallerGone, "caller-gone", 499, "The caller closed its connection."},
 	StoreDown:       {StoreDown, "store-down", 503, "The platform's object API does not answer, so the request could not be recorded."},
--- a/kernel/directory/route.go
+++ b/kernel/directory/route.go
@@ -93,6 +93,15 @@
 	return route.spec.Kind == Idempotent || route.spec.Kind == Stream && route.spec.Resumable
 }
 
+// Services returns the names of the services that the route's requests may go to.
+func (route *Route) Services() []string {
+	services := make([]string, 0, len(route.spec.Shares))
+	for _, share := range route.spec.Shares {
+		services = append(services, share.Service)
+	}
+	return services
+}
+
 // PickService returns the service for a random number draw in [0, 1), so that
 // services get requests in proportion to their weights. It returns the first
 // service if no weight is positive, and an empty name for a route without shares.
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -70,12 +70,14 @@
 	ValidFor time.Duration // validity, counted from arrival; the agent drops the command after it
 }
 
-// CommandResult is the answer to the Command, RetryRequest or PermitRequest with the same ID.
+// CommandResult is the answer to the Command, RetryRequest, PermitRequest or OriginRequest
+// with the same ID.
 type CommandResult struct {
 	ID         uint64
 	Done       bool
 	Reason     string        // why the command was refused or failed
 	RetryAfter time.Duration // of a refused RetryRequest: time within which another is refused too; see also PermitRequest
+	Origin     uint64        // of the stream of an OriginRequest, if Done
 }
 
 // The first byte of a datagram is its message kind.
@@ -87,6 +89,8 @@
 	datagramPrompt
 	datagramRetry
 	datagramPermit
+	datagramOrigins
+	datagramOriginRequest
 )
 
 // EncodeDatagram encodes a message as one datagram. It fails when the message has no
@@ -108,6 +112,10 @@
 		kind = datagramRetry
 	case *PermitRequest:
 		kind = datagramPermit
+	case *StreamOrigins:
+		kind = datagramOrigins
+	case *OriginRequest:
+		kind = datagramOriginRequest
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -141,8 +149,12 @@
 		message = &RetryRequest{}
 	case datagramPermit:
 		message = &PermitRequest{}
+	case datagramOrigins:
+		message = &StreamOrigins{}
+	case datagramOriginRequest:
+		message = &OriginRequest{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramPermit)
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramOriginRequest)
 	}
 	return message, parse(data[1:], message)
 }
@@ -327,6 +339,7 @@
 	writer.bool(2, commandResult.Done)
 	writer.string(3, commandResult.Reason)
 	writer.duration(4, commandResult.RetryAfter)
+	writer.varint(5, commandResult.Origin)
 }
 
 func (commandResult *CommandResult) setField(number protowire.Number, value fieldValue) {
@@ -339,5 +352,7 @@
 		commandResult.Reason = value.string()
 	case 4:
 		commandResult.RetryAfter = value.duration()
+	case 5:
+		commandResult.Origin = value.varint
 	}
 }
