Let no stream go on at a target that may have started anew as another version

The list lags by up to two heartbeats.

Change: a target whose connections are all lost (refused, or the idle ones closed with the broken one) takes no stream that goes on for 3 s, or until its agent reports the same incarnation; one of whose connections broke ranks behind others for such streams, also at the other entries, which the next state message says. Streams that may have begun after a target had started anew (not before data of a connection that broke, by the target's start time within 1 s of clock skew) lose their recorded origin, here and at their keepers, when the list or an agent shows the other incarnation.

--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -159,6 +159,24 @@
 	}
 }
 
+// Lost reports whether an error on a connection to the address goes with the loss of all
+// others, as when the process there has ended: the connection was refused, or the idle ones
+// have been closed as well. Without an idle connection, there is no evidence of a loss.
+func (pool *Pool) Lost(address string, err error) bool {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true
+	}
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	idle := pool.idle[address]
+	for _, conn := range idle {
+		if !Closed(conn.Conn) {
+			return false
+		}
+	}
+	return len(idle) > 0
+}
+
 // Close closes all idle connections; connections returned later are closed too.
 func (pool *Pool) Close() {
 	pool.Retain(nil)
--- /dev/null
+++ b/entry/gateway/beginnings.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"time"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/stream"
+	"endiverill.example/kernel/wire"
+)
+
+const (
+	beginningTTL = 3 * time.Second // within which the list shows a target that has started anew under its ID
+	clockSkew    = time.Second     // between the times of day of a target and an entry
+)
+
+// beginnings holds which streams began lately at each target. When it turns out that a target
+// had started anew under its ID, the later ones may have been begun by another software version
+// than was recorded.
+type beginnings struct {
+	streams    map[directory.TargetKey][]beginning // oldest first
+	aliveUntil map[directory.TargetKey]time.Time   // when the target last sent data on a connection that broke later
+}
+
+// beginning is the beginning of one stream.
+type beginning struct {
+	id   stream.ID
+	call *call
+	at   time.Time
+}
+
+func newBeginnings() beginnings {
+	return beginnings{streams: map[directory.TargetKey][]beginning{}, aliveUntil: map[directory.TargetKey]time.Time{}}
+}
+
+func (beginnings *beginnings) add(key directory.TargetKey, added beginning) {
+	beginnings.streams[key] = append(beginnings.streams[key], added)
+	for other, streams := range beginnings.streams {
+		for len(streams) > 0 && added.at.Sub(streams[0].at) > beginningTTL {
+			streams = streams[1:]
+		}
+		beginnings.streams[other] = streams
+		if len(streams) == 0 {
+			delete(beginnings.streams, other)
+			delete(beginnings.aliveUntil, other)
+		}
+	}
+}
+
+// recordBreak records that a connection to a target broke that had data at the time last.
+func (beginnings *beginnings) recordBreak(key directory.TargetKey, last time.Time) {
+	if last.After(beginnings.aliveUntil[key]) && len(beginnings.streams[key]) > 0 {
+		beginnings.aliveUntil[key] = last
+	}
+}
+
+// takeAfter removes the streams of a target and returns those that may have begun after it
+// had started anew at startedAt, in Unix milliseconds.
+func (beginnings *beginnings) takeAfter(key directory.TargetKey, startedAt int64, now time.Time) []beginning {
+	var after []beginning
+	for _, begun := range beginnings.streams[key] {
+		recent := now.Sub(begun.at) <= beginningTTL && begun.at.Add(clockSkew).UnixMilli() >= startedAt
+		if recent && begun.at.After(beginnings.aliveUntil[key]) {
+			after = append(after, begun)
+		}
+	}
+	delete(beginnings.streams, key)
+	delete(beginnings.aliveUntil, key)
+	return after
+}
+
+// recordBreak records that a connection to a target broke that had data at the time last.
+func (origins *origins) recordBreak(key directory.TargetKey, last time.Time) {
+	origins.mu.Lock()
+	defer origins.mu.Unlock()
+	origins.beginnings.recordBreak(key, last)
+}
+
+// replaced records that the target of key had ended and another incarnation with its ID had
+// started at startedAt. The origins of streams that may have begun there are not known any more,
+// here and at their keepers.
+func (origins *origins) replaced(key directory.TargetKey, service string, startedAt int64) {
+	gateway := origins.gateway
+	origins.mu.Lock()
+	uncertain := origins.beginnings.takeAfter(key, startedAt, gateway.clock.Now())
+	for _, begun := range uncertain {
+		begun.call.originUncertain.Store(true)
+		origins.table.Record(begun.id, uncertainOrigin, streamRetention(begun.call.route), gateway.clock.Now())
+	}
+	origins.mu.Unlock()
+	gateway.metrics.Add("origins.uncertain", int64(len(uncertain)))
+	go origins.announceUncertain(uncertain) // the caller may hold locks that sending takes
+	for _, begun := range uncertain {
+		gateway.log.Infof("stream %q of service %q may have begun at target %s after its start at Unix ms %d, its software version is not known", begun.call.head.ID, service, key.ID, startedAt)
+	}
+}
+
+// announceUncertain sends the keepers of the streams that their origins are not known any more.
+func (origins *origins) announceUncertain(uncertain []beginning) {
+	gateway := origins.gateway
+	for _, begun := range uncertain {
+		record := wire.StreamOrigin{Stream: uint64(begun.id), Origin: uint64(uncertainOrigin), Retention: streamRetention(begun.call.route)}
+		gateway.peers.sendEach(stream.Keepers(begun.id, gateway.peers.liveEntries(), originKeepers), &wire.StreamOrigins{Records: []wire.StreamOrigin{record}})
+	}
+}
+
+// uncertainOrigin contradicts any origin that is recorded for a stream.
+var uncertainOrigin = stream.NewOrigin("", "")
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,7 +39,8 @@
 	suspects   []quarantine.Part // identity, and shared parts of the prompt
 	permit     heldPermit        // for the next request to a limited target
 
-	originRecorded bool // see recordOrigin
+	originRecorded  bool        // see recordOrigin
+	originUncertain atomic.Bool // another software version than was recorded may have begun the stream
 }
 
 // String returns what the call asks for, as it stands in log lines.
--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -28,10 +28,16 @@
 	mu       sync.Mutex // guards the fields below
 	table    *stream.Origins
 	versions *stream.Versions
+
+	beginnings beginnings
+	listed     map[string]*directory.Target // the last list, by ID
 }
 
 func newOrigins(gateway *Gateway) *origins {
-	return &origins{gateway: gateway, table: stream.NewOrigins(maxOriginRecords), versions: stream.NewVersions(gateway.clock.Now())}
+	return &origins{
+		gateway: gateway, table: stream.NewOrigins(maxOriginRecords), versions: stream.NewVersions(gateway.clock.Now()),
+		beginnings: newBeginnings(),
+	}
 }
 
 // streamRetention returns how long after its beginning a stream of the route may be taken up.
@@ -42,15 +48,26 @@
 	return defaultTimeout + takeUpMargin
 }
 
-// observe records which software versions the list of targets shows.
+// observe records which software versions the list of targets shows, and which targets have
+// started anew under their IDs.
 func (origins *origins) observe(listed []*directory.Target, now time.Time) {
 	serving := map[string][]string{}
 	for _, target := range listed {
 		serving[target.Service()] = append(serving[target.Service()], target.Software())
 	}
 	origins.mu.Lock()
-	defer origins.mu.Unlock()
 	origins.versions.Observe(serving, now)
+	before := origins.listed
+	origins.listed = make(map[string]*directory.Target, len(listed))
+	for _, target := range listed {
+		origins.listed[target.ID()] = target
+	}
+	origins.mu.Unlock()
+	for _, target := range listed {
+		if old := before[target.ID()]; old != nil && old.Key() != target.Key() && old.Software() != target.Software() {
+			origins.replaced(old.Key(), target.Service(), target.StartedAt())
+		}
+	}
 }
 
 // sole returns the software version that alone has served a service for the time within.
@@ -83,6 +100,7 @@
 	id, origin, retention := stream.NewID(call.customerName(), call.head.ID), stream.NewOrigin(target.Service(), software), streamRetention(call.route)
 	origins.mu.Lock()
 	added := origins.table.Record(id, origin, retention, now)
+	origins.beginnings.add(target.Key(), beginning{id: id, call: call, at: now})
 	origins.mu.Unlock()
 	if !added {
 		return
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -123,6 +123,13 @@
 	return stateInterval * time.Duration(1+len(peers.entries)/peersPerInterval)
 }
 
+// count returns the number of other entries that this one knows.
+func (peers *peers) count() int {
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	return len(peers.entries)
+}
+
 // sendSoon brings the next round of messages forward.
 func (peers *peers) sendSoon() {
 	select {
@@ -191,6 +198,7 @@
 	setReport(state, gateway.limiter.Report(now))
 	state.Suspects = evidence.Encode(gateway.quarantine.Report(now))
 	state.Limits = gateway.limitReports(now)
+	state.Broken = gateway.breakReports(now)
 	return state
 }
 
@@ -289,7 +297,7 @@
 // their own state to this entry. The message state is modified. The caller must
 // hold mu.
 func (peers *peers) subscribe(state *wire.EntryState) {
-	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects, state.Limits = nil, nil, nil, nil, nil, nil, nil, nil
+	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects, state.Limits, state.Broken = nil, nil, nil, nil, nil, nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -53,6 +53,7 @@
 	}
 	gateway.applyEvidence(name, state.Suspects, now)
 	gateway.applyLimits(state.Limits, now)
+	gateway.applyBreaks(state.Broken, now)
 	if started := peers.applyEntryState(from, state, now); started {
 		gateway.origins.sendTo(from)
 	}
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -238,6 +238,7 @@
 		relay.attempt.end(dispatch.Cancelled)
 		return errors.Wrap(errTruncated, "the caller has disconnected or the deadline has passed")
 	}
+	relay.attempt.recordLoss(cause)
 	relay.attempt.recordBreak(cause)
 	relay.attempt.end(dispatch.Failed)
 	gateway.log.Infof("request %q was cut at target %s after event %q, identity %x, prompt parts %s: %v",
@@ -249,6 +250,9 @@
 		return errors.Wrap(errTruncated, "the stream from the target broke and no retry is allowed")
 	}
 	call.head.LastEvent = relay.lastID
+	if call.originUncertain.Load() {
+		call.placement.Software = ""
+	}
 	next, fault := gateway.forward(call)
 	if fault != nil || next.response == nil || !next.resumable || next.header.StatusCode() != relay.header.StatusCode() {
 		gateway.metrics.Add("streams.cut", 1)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -482,6 +482,7 @@
 		attempt.end(dispatch.Cancelled)
 		return attemptResult{ran: ran, fault: fault}
 	}
+	attempt.recordLoss(err)
 	if ran != code.RanNo {
 		attempt.recordBreak(err)
 	}
--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -383,6 +383,11 @@
 		return
 	}
 	gateway.log.Infof("target on %s is now %s, started at Unix ms %d", host, id, startedAt)
+	for _, target := range syncer.targets {
+		if target.ID() == id && target.StartedAt() < startedAt && target.Software() != "" {
+			gateway.origins.replaced(target.Key(), target.Service(), startedAt)
+		}
+	}
 	syncer.setTargets(syncer.targetTracker.Targets(), gateway.clock.Now())
 	// The previous incarnation has ended, even if its connections have not been
 	// closed.
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -5,7 +5,9 @@
 
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/dispatch"
 	"endiverill.example/kernel/stream"
+	"endiverill.example/kernel/wire"
 )
 
 const (
@@ -117,3 +119,41 @@
 		gateway.origins.record(call, target, software)
 	}
 }
+
+// recordLoss records that the connection of the attempt broke, together with all others to its
+// target or alone.
+func (attempt *attempt) recordLoss(err error) {
+	gateway, key := attempt.call.gateway, attempt.target.Key()
+	gateway.origins.recordBreak(key, attempt.lastData)
+	all := gateway.pool.Lost(attempt.target.Address(), err)
+	gateway.mu.Lock()
+	first := gateway.dispatcher.RecordBreak(key, all, gateway.clock.Now())
+	gateway.mu.Unlock()
+	if all {
+		gateway.metrics.Add("targets.lost", 1)
+		gateway.log.Infof("connections to target %s are lost; until it is known to run, no stream goes on there: %v", attempt.target.ID(), err)
+	}
+	if first && gateway.peers.count() < peersPerInterval {
+		gateway.peers.sendSoon() // in a larger fleet, such messages of all entries would fill the links
+	}
+}
+
+// breakReports returns what this entry reports of targets whose connections broke. The caller
+// must hold gateway.mu.
+func (gateway *Gateway) breakReports(now time.Time) []wire.BrokenTarget {
+	var broken []wire.BrokenTarget
+	for _, report := range gateway.dispatcher.BreakReports(now) {
+		broken = append(broken, wire.BrokenTarget{Target: report.Key.ID, StartedAt: report.Key.StartedAt, Age: now.Sub(report.At)})
+	}
+	return broken
+}
+
+// applyBreaks records what another entry has reported of targets whose connections broke.
+func (gateway *Gateway) applyBreaks(reported []wire.BrokenTarget, now time.Time) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	for _, broken := range reported {
+		key := directory.TargetKey{ID: broken.Target, StartedAt: broken.StartedAt}
+		gateway.dispatcher.ApplyBreak(dispatch.Break{Key: key, At: now.Add(-broken.Age)})
+	}
+}
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -124,6 +124,9 @@
 	if now.Before(replica.backoffUntil) {
 		candidate.cost += backoffPenalty
 	}
+	if request.Continues && request.Software != "" && replica.broken(now) {
+		candidate.cost += breakPenalty
+	}
 	if replica.limitConfirmed(now) {
 		candidate.cost += limitPenalty
 	}
--- a/kernel/wire/codec_test.go
+++ b/kernel/wire/codec_test.go
@@ -35,7 +35,7 @@
 
 func TestDatagramRoundTripKeepsFields(t *testing.T) {
 	for _, message := range []Message{
-		&EntryState{Name: "e", Incarnation: 3, Spent: []NamedValue{{"c", 7.5}}, RateLeft: []NamedValue{{"c", -2}}, Refunds: []NamedValue{{"c", 3}}, RefundAges: []NamedValue{{"c", 1.5}}, ReportRequested: true, Suspects: []PartEvidence{{Part: 1 << 63, Ends: 2, Age: 3, Begun: true, Since: 4, With: []uint64{1, 1 << 63}, Trying: true, Ended: []uint32{1, 1 << 31}}}, Limits: []TargetLimit{{Target: "t", StartedAt: 1 << 50, PerSecond: 1.2, Named: true, NamedAge: 3, Cleared: true, ClearedAge: 4}}},
+		&EntryState{Name: "e", Incarnation: 3, Spent: []NamedValue{{"c", 7.5}}, RateLeft: []NamedValue{{"c", -2}}, Refunds: []NamedValue{{"c", 3}}, RefundAges: []NamedValue{{"c", 1.5}}, ReportRequested: true, Suspects: []PartEvidence{{Part: 1 << 63, Ends: 2, Age: 3, Begun: true, Since: 4, With: []uint64{1, 1 << 63}, Trying: true, Ended: []uint32{1, 1 << 31}}}, Limits: []TargetLimit{{Target: "t", StartedAt: 1 << 50, PerSecond: 1.2, Named: true, NamedAge: 3, Cleared: true, ClearedAge: 4}}, Broken: []BrokenTarget{{Target: "t", StartedAt: 1 << 50, Age: 5}}},
 		&TargetState{Target: "t", Number: 4, Unread: []uint64{0, 300, 0}, Cached: []uint32{1, 1 << 31}, Evicted: []uint32{5}, Full: true},
 		&SentPrompt{ID: "r", Urgency: 2, Tokens: 9000, Parts: []PromptPart{{Key: 1 << 31, Tokens: 2500}, {Key: 2, Tokens: 1}}},
 		&RetryRequest{ID: 5, Service: "s"},
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -45,6 +45,7 @@
 	InventoryVersion uint64         // sent to an agent: the last TargetState.InventoryVersion received from it
 	Suspects         []PartEvidence // of parts of prompts under which targets have ended
 	Limits           []TargetLimit  // that targets have named to the sender
+	Broken           []BrokenTarget // to which a connection of the sender has just broken
 }
 
 // AdapterUse names an adapter that requests used, and its base model.
@@ -215,6 +216,9 @@
 	for index := range entryState.Limits {
 		writer.message(20, &entryState.Limits[index])
 	}
+	for index := range entryState.Broken {
+		writer.message(21, &entryState.Broken[index])
+	}
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -268,6 +272,11 @@
 		if parse(value.bytes, &limit) == nil {
 			entryState.Limits = append(entryState.Limits, limit)
 		}
+	case 21:
+		var broken BrokenTarget
+		if parse(value.bytes, &broken) == nil {
+			entryState.Broken = append(entryState.Broken, broken)
+		}
 	}
 }
 
