--- a/endiverill/internal/deployment/deployment.go
+++ b/endiverill/internal/deployment/deployment.go
@@ -159,6 +159,7 @@
 	for index, engineSpec := range spec.Engines {
 		profile := spec.Profile
 		profile.Memory = engineSpec.MemoryMB * mebibyte
+		profile.SoftwareVersion = spec.SoftwareVersions[engineSpec.Name]
 		engineStandIn := engine.New(profile, deployment.weights)
 		for _, name := range engineSpec.Models {
 			engineStandIn.Preload(name, "", footprints[name])
--- a/endiverill/internal/deployment/spec.go
+++ b/endiverill/internal/deployment/spec.go
@@ -23,6 +23,7 @@
 	Customers             map[string]Customer
 	Keys                  map[string]string // secret of the key by name of the customer
 	Profile               engine.Profile    // of every engine, except for Memory, which Engines sets
+	SoftwareVersions      map[string]string // software version by name of the engine; none of those that are not named
 	WeightLoadsPerSecond  float64           // loads per second that the weight store starts
 	WeightConcurrentLoads int               // concurrent loads that the weight store serves at full speed
 	Seed                  uint64            // selects the writes whose responses the object API loses when it injects faults
--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -24,6 +24,8 @@
 	Waiting  int              `json:"waiting"` // requests waiting for a slot
 	Slots    int              `json:"slots"`   // maximum number of requests in the batch
 	Resident []*residentModel `json:"resident"`
+
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 func (engine *Engine) handle(ctx *fasthttp.RequestCtx) {
@@ -72,7 +74,7 @@
 	}
 	current := state{
 		Memory: engine.profile.Memory, Used: engine.used, Slots: engine.profile.Slots,
-		Running: engine.sampled.running, Waiting: engine.sampled.waiting,
+		Running: engine.sampled.running, Waiting: engine.sampled.waiting, SoftwareVersion: engine.profile.SoftwareVersion,
 	}
 	for _, found := range engine.resident {
 		current.Resident = append(current.Resident, found)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,7 +1,7 @@
 // Package engine simulates a model engine: it batches continuously, caches prompt
 // prefixes, loads and unloads models and adapters when ordered to, resumes streams
-// and cancels requests. The generated text depends only on model and prompt, so
-// that a test can check that a response is complete and belongs to its request.
+// and cancels requests. The generated text depends only on software version, model and
+// prompt, so that a test can check that a response is complete and belongs to its request.
 package engine
 
 import (
@@ -28,6 +28,7 @@
 	CacheBlocks        int           // capacity of the prefix cache in blocks
 	ChecksOrders       bool          // rejects orders with a fencing number older than the newest one seen
 	LoadSampleInterval time.Duration // how long a sample of the load is reported before a new one is taken
+	SoftwareVersion    string        // that the engine states, and that each of its tokens begins with; empty for none
 }
 
 // Faults are the faults that the engine injects.
@@ -111,6 +112,14 @@
 	engine.faults = faults
 }
 
+// SetSoftwareVersion changes the software version, as a restart does. Requests that were
+// accepted before go on with the old one.
+func (engine *Engine) SetSoftwareVersion(version string) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.profile.SoftwareVersion = version
+}
+
 // Preload makes a model or adapter resident and ready at once, without an order.
 // The model is the base model of an adapter and empty otherwise; footprint is in
 // bytes.
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -20,6 +20,8 @@
 	maxRecordedRequests = 2000
 )
 
+const headerSoftwareVersion = "Software-Version" // of answers to completion requests
+
 // completionRequest is the JSON body of a completion or chat completion request.
 type completionRequest struct {
 	Model     string            `json:"model"`
@@ -47,12 +49,25 @@
 	return fmt.Sprintf("%08x ", uint32(seed))
 }
 
+// versionedToken returns the token that an engine of a software version generates at a
+// position. Without a version it is that of Token.
+func versionedToken(version, model, prompt string, position int) string {
+	if version == "" {
+		return Token(model, prompt, position)
+	}
+	return version + ":" + Token(model, prompt, position)
+}
+
 // Completion returns the text of the completion of a prompt with the given number of
 // tokens.
 func Completion(model, prompt string, tokens int) string {
+	return versionedCompletion("", model, prompt, tokens)
+}
+
+func versionedCompletion(version, model, prompt string, tokens int) string {
 	var text strings.Builder
 	for position := range tokens {
-		text.WriteString(Token(model, prompt, position))
+		text.WriteString(versionedToken(version, model, prompt, position))
 	}
 	return text.String()
 }
@@ -68,7 +83,8 @@
 	cancel     context.CancelFunc
 	model      *residentModel
 	tokenTime  time.Duration
-	cutAfter   int // Faults.CutAfter when the request arrived
+	cutAfter   int    // Faults.CutAfter when the request arrived
+	version    string // Profile.SoftwareVersion when the request arrived
 }
 
 func (engine *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
@@ -80,6 +96,9 @@
 		}
 		return
 	}
+	if job.version != "" {
+		ctx.Response.Header.Set(headerSoftwareVersion, job.version)
+	}
 	if job.request.Stream {
 		ctx.SetContentType("text/event-stream")
 		ctx.Response.ImmediateHeaderFlush = true
@@ -125,6 +144,7 @@
 		ctx: background, cancel: cancel, request: request, prompt: request.promptText(), resumeFrom: resumeFrom,
 		chat: strings.Contains(string(ctx.Path()), "chat"), id: string(ctx.Request.Header.Peek("Request-Id")),
 		model: model, tokenTime: engine.profile.TokenTime, cutAfter: engine.faults.CutAfter,
+		version: engine.profile.SoftwareVersion,
 	}
 	engine.cancelFuncs[job.id] = cancel
 	return job, 0, ""
@@ -219,7 +239,7 @@
 }
 
 func writeEvent(writer *bufio.Writer, job *job, position int) {
-	token := Token(job.request.Model, job.prompt, position)
+	token := versionedToken(job.version, job.request.Model, job.prompt, position)
 	if job.chat {
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
 			position, job.request.Model, token)
@@ -243,7 +263,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	text := Completion(job.request.Model, job.prompt, job.request.MaxTokens)
+	text := versionedCompletion(job.version, job.request.Model, job.prompt, job.request.MaxTokens)
 	choice := map[string]any{"index": 0, "finish_reason": "length", "text": text}
 	object := "text_completion"
 	if job.chat {
--- a/standin/main.go
+++ b/standin/main.go
@@ -68,6 +68,7 @@
 		&cli.IntFlag{Name: "slots", Value: 8, Usage: "sequences in a batch"},
 		&cli.DurationFlag{Name: "token-time", Value: 5 * time.Millisecond, Usage: "time between two tokens"},
 		&cli.DurationFlag{Name: "load-time", Value: time.Second, Usage: "time to load a model"},
+		&cli.StringFlag{Name: "software-version", Usage: "software version that the engine states"},
 		&cli.BoolFlag{Name: "checks-orders", Value: true, Usage: "refuse orders with an old fencing number"},
 	}
 }
@@ -87,6 +88,7 @@
 		Memory: command.Int64("memory") << 20, Slots: command.Int("slots"), TokenTime: command.Duration("token-time"),
 		PrefillTime: prefillTime, LoadTime: command.Duration("load-time"), AdapterTime: adapterTime,
 		CacheBlocks: cacheBlocks, ChecksOrders: command.Bool("checks-orders"), LoadSampleInterval: loadSampleInterval,
+		SoftwareVersion: command.String("software-version"),
 	}
 	return engine.New(profile, weight.New(loadsPerSecond, fullSpeedLoads)).Serve
 }
