Let a begun completion go on only at its software version

What callers saw: a completion stream that its engine broke off went on at any engine of its model, also of another software version, and held tokens of two versions that do not fit together. Cause: the entry excludes the targets that it has tried, nothing else, and neither entry nor agent knew what software an engine runs.

The agent reads the version from the engine's state (software_version) and, where the engine states it there, from the head of the stream (Software-Version), and reports it in its load and in the first frame of a stream. An engine that states it only in its state is asked again at the first token, since it may have been restarted. The first frame's version is the one that began the answer. Once the caller has a token, the policies leave out replicas of other versions like those that were tried, and the entry compares the first frame of a target that is to go on before it passes a token on; a mismatch is a failed attempt. If no replica of the version is left, the stream ends at once with the error event of a cut stream that names the version, and takes no retry (streams.refused.version). Without versions nothing changes. A target whose version is not known is not used to go on while another states one, and a stream that began at such a target ends.

The round trip of the wire messages is extended by the two new fields; no bound changed.

--- a/agent/agent/agent.go
+++ b/agent/agent/agent.go
@@ -126,7 +126,7 @@
 	load := &wire.Load{
 		Target: agent.target, Incarnation: agent.Incarnation(), Uptime: agent.Age(), Leaving: agent.leaving.Load(),
 		Queued: int(agent.queued.Load()), Running: int(agent.running.Load()), Slots: int(agent.slots.Load()),
-		Resident: *agent.resident.Load(), Sequence: agent.sequence.Add(1),
+		Resident: *agent.resident.Load(), Sequence: agent.sequence.Add(1), SoftwareVersion: agent.client.SoftwareVersion(),
 	}
 	if document := agent.Follower().Document(); document != nil {
 		load.Generation = document.Generation()
--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -140,3 +140,23 @@
 	assert.Equal(t, agent.targetError(err).Code(), code.TargetEnded)
 	assert.Equal(t, agent.targetError(err).Ran(), code.RanUnknown)
 }
+
+func TestRestartOfEngineWithAnotherVersionIsNotNoticed(t *testing.T) {
+	var version atomic.Value
+	version.Store("7.1")
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte(`{"software_version":"` + version.Load().(string) + `"}`))
+	}))
+	agent := newIdleAgent(t)
+	agent.client = engine.New(strings.TrimPrefix(target.URL, "http://"), time.Second, clock.System{})
+	assert.Equal(t, agent.streamVersion(engine.Event{}), "", "not known before the engine stated one")
+	_, err := agent.client.State()
+	assert.NilError(t, err)
+	assert.Equal(t, agent.load().SoftwareVersion, "7.1")
+	assert.Equal(t, agent.streamVersion(engine.Event{}), "7.1")
+	version.Store("7.2")
+	assert.Equal(t, agent.streamVersion(engine.Event{}), "", "either version may have begun the stream")
+	assert.Equal(t, agent.load().SoftwareVersion, "7.2")
+	target.Close()
+	assert.Equal(t, agent.streamVersion(engine.Event{}), "", "the engine may have been restarted")
+}
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -283,7 +283,11 @@
 			return errors.Newf("got token %d, expected token %d", event.Position(), expected)
 		}
 		expected++
-		return sink.send(&wire.Frame{Kind: wire.FrameData, Data: event.Data(), Tokens: 1})
+		frame := &wire.Frame{Kind: wire.FrameData, Data: event.Data(), Tokens: 1}
+		if sink.position == 0 {
+			frame.SoftwareVersion = agent.streamVersion(event)
+		}
+		return sink.send(frame)
 	})
 	if err != nil {
 		return agent.refuse(sink, agent.targetError(err))
@@ -291,7 +295,28 @@
 	if response != nil {
 		return agent.refuseResponse(sink, response)
 	}
-	return sink.send(&wire.Frame{Kind: wire.FrameEnd, Load: agent.load()})
+	end := &wire.Frame{Kind: wire.FrameEnd, Load: agent.load()}
+	if sink.position == 0 {
+		end.SoftwareVersion = agent.client.SoftwareVersion()
+	}
+	return sink.send(end)
+}
+
+// streamVersion returns the software version of the engine that sent the first event of a
+// stream, empty if it is not known. An engine that states it only in its state may have been
+// restarted since that was read, so that it is read again.
+func (agent *Agent) streamVersion(event engine.Event) string {
+	known := agent.client.SoftwareVersion()
+	if event.SoftwareVersion() != "" || known == "" {
+		return event.SoftwareVersion()
+	}
+	state, err := agent.client.State()
+	if err != nil || state.SoftwareVersion() != known {
+		agent.Metrics().Add("engine.version_errors", 1)
+		agent.log.Infof("the software version of a stream is not known: it was %q before the stream, reading it again: %v", known, err)
+		return ""
+	}
+	return known
 }
 
 // refuseResponse ends an answer with an error when the engine refused the
--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,8 +47,9 @@
 	clock    clock.Clock
 	rest     retry.Rest
 	limiter  limiter
-	pooled   *fasthttp.Client // for calls that may be repeated on a new connection
-	unpooled *fasthttp.Client // a new connection for each call
+	version  atomic.Pointer[string] // of the engine's software, as last stated; nil before
+	pooled   *fasthttp.Client       // for calls that may be repeated on a new connection
+	unpooled *fasthttp.Client       // a new connection for each call
 }
 
 // New returns a client of the target at address, HOST:PORT. A read that gets no
@@ -78,6 +80,19 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// headerSoftwareVersion is the header in which an engine may state the version of its
+// software in an answer.
+const headerSoftwareVersion = "Software-Version"
+
+// SoftwareVersion returns the version of the engine's software as it last stated it, in its
+// state or in the head of a stream. It is empty if the engine states none.
+func (client *Client) SoftwareVersion() string {
+	if version := client.version.Load(); version != nil {
+		return *version
+	}
+	return ""
+}
+
 // recordRest records the rest that a response asks for, if any.
 func (client *Client) recordRest(httpResponse *fasthttp.Response) {
 	if httpResponse.StatusCode() != fasthttp.StatusServiceUnavailable {
@@ -269,7 +284,14 @@
 		return response, err
 	}
 	defer func() { _ = httpResponse.CloseBodyStream() }()
-	return nil, readEvents(ctx, httpResponse.BodyStream(), handle)
+	version := string(httpResponse.Header.Peek(headerSoftwareVersion))
+	if version != "" {
+		client.version.Store(&version)
+	}
+	return nil, readEvents(ctx, httpResponse.BodyStream(), func(event Event) error {
+		event.softwareVersion = version
+		return handle(event)
+	})
 }
 
 // Cancel asks the engine to abort the request with this nonce. It is best effort.
--- a/agent/internal/engine/event.go
+++ b/agent/internal/engine/event.go
@@ -12,8 +12,9 @@
 
 // Event is one server-sent event of a token stream.
 type Event struct {
-	position uint64
-	data     []byte
+	position        uint64
+	data            []byte
+	softwareVersion string
 }
 
 // Position returns the token's index in the whole answer, from 0.
@@ -22,6 +23,10 @@
 // Data returns the event's payload, valid until the handler returns.
 func (event Event) Data() []byte { return event.data }
 
+// SoftwareVersion returns the version of the engine's software that the head of the stream
+// states, empty if it states none.
+func (event Event) SoftwareVersion() string { return event.softwareVersion }
+
 const (
 	readBufferBytes = 4 << 10
 	maxEventBytes   = 1 << 20 // of one line of an event
--- a/agent/internal/engine/orders.go
+++ b/agent/internal/engine/orders.go
@@ -43,8 +43,12 @@
 	used     int64
 	slots    int
 	resident []Resident
+	version  string
 }
 
+// SoftwareVersion returns the version of the engine's software, empty if it states none.
+func (state *State) SoftwareVersion() string { return state.version }
+
 // Memory returns the accelerator's memory in bytes.
 func (state *State) Memory() int64 { return state.memory }
 
@@ -67,9 +71,10 @@
 		Footprint int64  `json:"footprint"`
 		State     string `json:"state"`
 	} `json:"resident"`
+	SoftwareVersion string `json:"software_version"`
 }
 
-// State requests the engine's state.
+// State requests the engine's state, and records its software version.
 func (client *Client) State() (*State, error) {
 	response, err := client.Call(&wire.Request{Method: fasthttp.MethodGet, Path: "/admin/state"}, false)
 	if err != nil {
@@ -82,7 +87,8 @@
 	if err := json.Unmarshal(response.body, &encoded); err != nil {
 		return nil, errors.Wrap(err, "engine state is not valid JSON")
 	}
-	state := &State{memory: encoded.Memory, used: encoded.Used, slots: encoded.Slots}
+	state := &State{memory: encoded.Memory, used: encoded.Used, slots: encoded.Slots, version: encoded.SoftwareVersion}
+	client.version.Store(&encoded.SoftwareVersion)
 	for _, row := range encoded.Resident {
 		state.resident = append(state.resident, Resident{name: row.Name, model: row.Model, footprint: row.Footprint, state: row.State})
 	}
--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -14,7 +14,8 @@
 )
 
 // completion is a request for text generation. If its target fails while streaming,
-// it resumes at another target from the next token that the caller lacks.
+// it resumes at another target of the software version that began it, from the next token
+// that the caller lacks.
 type completion struct {
 	entry           *Entry
 	call            *call
@@ -156,6 +157,7 @@
 		return err
 	}
 	current := entry.snapshot.Load()
+	completion.routeRequest.Begun = completion.generatedTokens > 0
 	replica, err := entry.pickReplica(current, completion.groupName, &completion.routeRequest)
 	if err != nil {
 		entry.withheld.recordOutcome(completion.identity, completion.request, "", err)
@@ -190,6 +192,9 @@
 		if fault := completion.abortFault(); fault != nil {
 			return nil, fault
 		}
+		if fault := completion.checkVersionLeft(err); fault != nil {
+			return nil, fault
+		}
 		if !completion.entry.mayRetry(completion.ctx, completion.call, engineService, err, completion.attempts) {
 			return nil, err
 		}
@@ -205,7 +210,58 @@
 			return nil, err
 		}
 	}
-	return completion.attempt.next()
+	frame, err := completion.attempt.next()
+	if err != nil || frame.Position > 0 {
+		return frame, err
+	}
+	if completion.generatedTokens == 0 {
+		completion.routeRequest.SoftwareVersion = frame.SoftwareVersion
+		return frame, nil
+	}
+	return frame, completion.checkVersion(frame.SoftwareVersion)
+}
+
+// checkVersion returns a fault if the target that is to go on with the answer runs another
+// software version than the one that began it. The entry may have chosen the target before
+// its engine was restarted.
+func (completion *completion) checkVersion(version string) *code.Fault {
+	entry, target, began := completion.entry, completion.attempt.replica.Name(), completion.routeRequest.SoftwareVersion
+	if version != began {
+		entry.log.Infof("stream %q does not go on at target %s after %d tokens: software version %q began it, the target runs %q",
+			completion.call.id, target, completion.generatedTokens, began, version)
+		return code.New(code.NoReplica, code.RanUnknown, "target %s does not run %s", target, versionText(began))
+	}
+	entry.log.Infof("stream %q goes on at target %s after %d tokens: software version %q began it, %q goes on",
+		completion.call.id, target, completion.generatedTokens, began, version)
+	return nil
+}
+
+// checkVersionLeft returns a fault if a stream that has begun, and that another target could
+// serve after err, cannot go on because no target of its software version is left.
+func (completion *completion) checkVersionLeft(err *code.Fault) *code.Fault {
+	entry, request := completion.entry, &completion.routeRequest
+	request.Begun = completion.generatedTokens > 0
+	if !request.Begun || !retryable(err) {
+		return nil
+	}
+	mayGoOn := request.SoftwareVersion == ""
+	if candidates := entry.snapshot.Load().groups[completion.groupName]; candidates != nil {
+		mayGoOn = candidates.MayGoOn(request)
+	}
+	if mayGoOn {
+		return nil
+	}
+	entry.Metrics().Add("streams.refused.version", 1)
+	entry.log.Infof("stream %q ends after %d tokens: software version %q began it, no other target is known to run it",
+		completion.call.id, completion.generatedTokens, request.SoftwareVersion)
+	return code.New(code.StreamCut, code.RanYes, "no other target is known to run %s, which began it", versionText(request.SoftwareVersion))
+}
+
+func versionText(version string) string {
+	if version == "" {
+		return "its unknown software version"
+	}
+	return "software version " + version
 }
 
 // abortFault returns the fault if the request was cancelled or its deadline has
--- a/entry/entry/retries.go
+++ b/entry/entry/retries.go
@@ -17,14 +17,19 @@
 // mayRetry reports whether an idempotent request for a service may be sent to another
 // target, and if so takes a retry.
 func (entry *Entry) mayRetry(ctx context.Context, call *call, service string, err *code.Fault, attempts int) bool {
-	switch err.Code() {
-	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone, code.RequestWithheld:
+	if !retryable(err) || attempts >= entry.limits.attempts || !entry.Clock().Now().Before(call.deadline) {
 		return false
 	}
-	if attempts >= entry.limits.attempts || !entry.Clock().Now().Before(call.deadline) {
+	return entry.takeRetry(ctx, call, service)
+}
+
+// retryable reports whether another target may serve a request that failed with err.
+func retryable(err *code.Fault) bool {
+	switch err.Code() {
+	case code.KeyUnknown, code.DeadlineTooNear, code.DeadlinePassed, code.CallerGone, code.RequestWithheld:
 		return false
 	}
-	return entry.takeRetry(ctx, call, service)
+	return true
 }
 
 // takeRetry takes a retry of a call to a service, and logs and counts the decision.
--- a/entry/entry/snapshot.go
+++ b/entry/entry/snapshot.go
@@ -83,9 +83,11 @@
 func (entry *Entry) replicaOf(target config.Target, observed *member.Member) *route.Replica {
 	existing := entry.replicas[target.Name()]
 	if existing != nil && existing.Address() == target.Agent() && !observed.FirstSeen().After(existing.KnownSince()) {
+		existing.SetSoftwareVersion(observed.SoftwareVersion())
 		return existing
 	}
 	replica := route.NewReplica(target.Name(), target.DataCentre(), target.Agent(), observed.Slots(), observed.FirstSeen())
+	replica.SetSoftwareVersion(observed.SoftwareVersion())
 	entry.replicas[target.Name()] = replica
 	return replica
 }
--- a/kernel/member/member.go
+++ b/kernel/member/member.go
@@ -30,6 +30,7 @@
 	leaving           bool
 	failures          int
 	resident          []string
+	softwareVersion   string
 	slots             int
 	firstSeen         time.Time
 	restarts          []time.Time
@@ -52,6 +53,9 @@
 // Resident returns the names of the models and adapters loaded on the target.
 func (member *Member) Resident() []string { return member.resident }
 
+// SoftwareVersion returns the software version of the engine, empty if it states none.
+func (member *Member) SoftwareVersion() string { return member.softwareVersion }
+
 // Slots returns how many requests the target runs concurrently.
 func (member *Member) Slots() int { return member.slots }
 
@@ -125,6 +129,10 @@
 		member.leaving, member.slots, member.resident = load.Leaving, load.Slots, load.Resident
 		changed = true
 	}
+	if member.softwareVersion != load.SoftwareVersion {
+		member.softwareVersion = load.SoftwareVersion
+		changed = true
+	}
 	return changed
 }
 
--- a/kernel/route/group.go
+++ b/kernel/route/group.go
@@ -88,6 +88,16 @@
 	// Tried holds the replicas at which the request has failed; they are not picked
 	// again.
 	Tried Tried
+	// Begun says that the caller has a part of the answer. Only replicas of
+	// SoftwareVersion are picked then.
+	Begun bool
+	// SoftwareVersion began the answer, empty if it is not known.
+	SoftwareVersion string
+}
+
+// excludes reports whether the request may not be sent to the replica, whatever its state.
+func (request *Request) excludes(replica *Replica) bool {
+	return request.Tried.Has(replica) || request.Begun && replica.SoftwareVersion() != request.SoftwareVersion
 }
 
 // MaxTried is the largest number of replicas that one request may be sent to.
@@ -117,7 +127,8 @@
 
 // Policy picks a replica of a group for a request. It picks an ejected replica
 // only if all that are not ejected were tried or are at rest, and returns nil only if
-// all replicas were tried or are at rest.
+// all replicas were tried or are at rest. Replicas of another software version than
+// that of a begun request are left out like those that were tried.
 type Policy interface {
 	Pick(request *Request, group *Group, now time.Time) *Replica
 }
@@ -134,18 +145,27 @@
 	return earliest
 }
 
-// usable reports whether the replica is neither tried, nor ejected, nor at rest.
+// MayGoOn reports whether software versions allow a begun request to go on: a replica of
+// the version that began it is left or, if that is not known, no replica states one.
+func (group *Group) MayGoOn(request *Request) bool {
+	if request.SoftwareVersion == "" {
+		return !slices.ContainsFunc(group.replicas, func(replica *Replica) bool { return replica.SoftwareVersion() != "" })
+	}
+	return slices.ContainsFunc(group.replicas, func(replica *Replica) bool { return !request.excludes(replica) })
+}
+
+// usable reports whether the replica is neither excluded, nor ejected, nor at rest.
 func usable(request *Request, replica *Replica, now time.Time) bool {
-	return !request.Tried.Has(replica) && !replica.Ejected(now) && replica.rest.Left(now) == 0
+	return !request.excludes(replica) && !replica.Ejected(now) && replica.rest.Left(now) == 0
 }
 
-// fallback returns the least loaded replica that was neither tried nor is at rest. It
+// fallback returns the least loaded replica that is neither excluded nor at rest. It
 // ignores ejection, so that a group whose replicas are all ejected still serves.
 func fallback(request *Request, group *Group, now time.Time) *Replica {
 	var best *Replica
 	lowest := math.Inf(1)
 	for _, replica := range group.replicas {
-		if request.Tried.Has(replica) || replica.rest.Left(now) > 0 {
+		if request.excludes(replica) || replica.rest.Left(now) > 0 {
 			continue
 		}
 		if load := replica.Load(now); load < lowest {
--- a/kernel/route/replica.go
+++ b/kernel/route/replica.go
@@ -36,6 +36,8 @@
 	failures      atomic.Int64 // consecutive
 	ejectedUntil  atomic.Int64 // nanoseconds after knownSince
 	rest          retry.Rest
+
+	softwareVersion atomic.Pointer[string]
 }
 
 // NewReplica returns a replica that runs up to slots requests at once and became
@@ -43,6 +45,7 @@
 func NewReplica(name, dataCentre, address string, slots int, knownSince time.Time) *Replica {
 	replica := &Replica{name: name, dataCentre: dataCentre, address: address, hash: hashName(name), knownSince: knownSince}
 	replica.slots.Store(int64(max(slots, 1)))
+	replica.SetSoftwareVersion("")
 	return replica
 }
 
@@ -58,6 +61,12 @@
 // KnownSince returns when the replica became known to this entry.
 func (replica *Replica) KnownSince() time.Time { return replica.knownSince }
 
+// SoftwareVersion returns the software version of the target, empty if it states none.
+func (replica *Replica) SoftwareVersion() string { return *replica.softwareVersion.Load() }
+
+// SetSoftwareVersion records the software version that the target states.
+func (replica *Replica) SetSoftwareVersion(version string) { replica.softwareVersion.Store(&version) }
+
 // OwnRequests returns the number of requests that this entry has in flight at the
 // replica.
 func (replica *Replica) OwnRequests() int64 { return replica.ownRequests.Load() }
--- a/kernel/wire/codec_test.go
+++ b/kernel/wire/codec_test.go
@@ -17,7 +17,8 @@
 	frame := &Frame{
 		ID: "id", Nonce: "n", Position: 3, Kind: FrameError, Status: 200, Headers: []Header{{"A", "1"}}, Data: []byte("d"), Code: 1301,
 		Ran: 1, Message: "m", RetryAfter: 4, Tokens: 1, RecordVersion: 5,
-		Load: &Load{Target: "t", Incarnation: 2, Leaving: true, Resident: []string{"a", "b"}, Offered: []ModelWork{{"m", 5}}, FreeMemory: 9, PlanVersion: 4},
+		Load:            &Load{Target: "t", Incarnation: 2, Leaving: true, Resident: []string{"a", "b"}, Offered: []ModelWork{{"m", 5}}, FreeMemory: 9, PlanVersion: 4, SoftwareVersion: "7.1"},
+		SoftwareVersion: "7.2",
 	}
 	documentRequest := &DocumentRequest{Kind: DocumentTargets, Version: 1, Requester: 2, Digest: 1 << 63, Offset: 3, MaxBytes: 4}
 	documentPart := &DocumentPart{Version: 1, Age: 2, Position: 3, Busy: true, Digest: 1 << 63, Size: 5, Offset: 4, Data: []byte{0}}
--- a/kernel/wire/fields.go
+++ b/kernel/wire/fields.go
@@ -119,6 +119,7 @@
 	if frame.Load != nil {
 		writer.message(14, frame.Load)
 	}
+	writer.string(15, frame.SoftwareVersion)
 }
 
 func (frame *Frame) setField(number protowire.Number, value fieldValue) {
@@ -154,6 +155,8 @@
 		if parse(value.bytes, frame.Load) != nil {
 			frame.Load = nil
 		}
+	case 15:
+		frame.SoftwareVersion = value.string()
 	}
 }
 
@@ -229,6 +232,7 @@
 	for index := range load.Offered {
 		writer.message(13, &load.Offered[index])
 	}
+	writer.string(14, load.SoftwareVersion)
 }
 
 func (load *Load) setField(number protowire.Number, value fieldValue) {
@@ -262,6 +266,8 @@
 		if parse(value.bytes, &modelWork) == nil {
 			load.Offered = append(load.Offered, modelWork)
 		}
+	case 14:
+		load.SoftwareVersion = value.string()
 	}
 }
 
--- a/kernel/wire/message.go
+++ b/kernel/wire/message.go
@@ -85,6 +85,10 @@
 	Tokens        int           // number of tokens in Data, for a token stream
 	RecordVersion uint64        // with FrameError, the object version of a stored record that prevents this dispatch; 0 for none
 	Load          *Load         // the agent's load report, nil for none
+
+	// SoftwareVersion is that of the engine that generates a token stream, in its first frame
+	// only; empty if the engine states none.
+	SoftwareVersion string
 }
 
 // RevokeRequest asks an agent never to start a dispatch.
@@ -149,6 +153,8 @@
 	Sequence    uint64      // number of the report, rising from the agent's start
 	PlanVersion uint64      // version of the plan that the agent carries out; only with Detail
 	Offered     []ModelWork // work requested since the agent's start; only with Detail
+
+	SoftwareVersion string // of the engine, empty if it states none
 }
 
 // ModelWork is the work requested of a model, in milliseconds of one of the
