--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -247,6 +247,9 @@
 	call.sends++
 	if !relay.resumable || !call.mayRetry(attemptResult{ran: code.RanYes}) {
 		gateway.metrics.Add("streams.cut", 1)
+		if relay.resumable {
+			gateway.log.Infof("stream %q does not go on after event %q: no retry is allowed, %d of %d sends", call.head.ID, relay.lastID, call.sends, call.route.Attempts())
+		}
 		return errors.Wrap(errTruncated, "the stream from the target broke and no retry is allowed")
 	}
 	call.head.LastEvent = relay.lastID
