--- a/kernel/stream/keepers.go
+++ b/kernel/stream/keepers.go
@@ -21,6 +21,9 @@
 	highest := make([]scored, 0, max(min(count, len(entries)), 0)+1)
 	for _, entry := range entries {
 		candidate := scored{entry: entry, score: rendezvousScore(id, entry)}
+		if last := len(highest) - 1; last >= 0 && last+1 == count && candidate.score < highest[last].score {
+			continue // as most entries of a large fleet
+		}
 		position, known := slices.BinarySearchFunc(highest, candidate, compareScores)
 		if known || position >= count {
 			continue
--- a/kernel/stream/keepers_test.go
+++ b/kernel/stream/keepers_test.go
@@ -11,11 +11,13 @@
 	"pgregory.net/rapid"
 )
 
+const firstAddress = 0x0a000001
+
 // addresses returns the addresses of so many entries.
 func addresses(entries int) []netip.AddrPort {
 	var all []netip.AddrPort
 	for index := range entries {
-		ip := binary.BigEndian.AppendUint32(nil, 0x0a000001+uint32(index))
+		ip := binary.BigEndian.AppendUint32(nil, firstAddress+uint32(index))
 		address, _ := netip.AddrFromSlice(ip)
 		all = append(all, netip.AddrPortFrom(address, 7000))
 	}
