--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -228,6 +228,17 @@
 	call.rateCharge = ratelimit.Charge{}
 }
 
+// extendStartBy sets the start-by time of a call that goes on with a stream: its caller waits
+// for the next event as long as for the first one.
+func (call *call) extendStartBy(broken *attempt) {
+	if timeout := call.route.EventTimeout(); timeout > 0 && !broken.lastData.IsZero() {
+		call.placement.StartBy = broken.lastData.Add(timeout)
+	}
+	if call.placement.StartBy.After(call.deadline) {
+		call.placement.StartBy = call.deadline
+	}
+}
+
 // endFault returns the fault of a call whose caller has disconnected or whose
 // deadline has passed, and nil for any other call. The argument ran is what is
 // known of whether the request ran.
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -253,6 +253,7 @@
 		return errors.Wrap(errTruncated, "the stream from the target broke and no retry is allowed")
 	}
 	call.head.LastEvent = relay.lastID
+	call.extendStartBy(relay.attempt)
 	if call.originUncertain.Load() {
 		call.placement.Software = ""
 	}
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -72,7 +72,7 @@
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
 	case shortest.RetryAfter > 0:
 		return shortest
-	case request.Continues && suitable == 0:
+	case request.Continues && suitable == 0 && !dispatcher.versionServes(request, now):
 		return Refuse{Reason: NoVersion}
 	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
--- a/kernel/dispatch/software.go
+++ b/kernel/dispatch/software.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"endiverill.example/kernel/directory"
@@ -82,6 +83,14 @@
 	}
 }
 
+// versionServes reports whether a target that takes work runs the software version that the
+// request needs, whatever models it holds.
+func (dispatcher *Dispatcher) versionServes(request *Request, now time.Time) bool {
+	return slices.ContainsFunc(dispatcher.services[request.Service], func(replica *replica) bool {
+		return !replica.leaving() && dispatcher.runs(replica, request.Software, now)
+	})
+}
+
 // runs reports whether a target is known to run a software version. Without a version, it
 // reports whether no target of the service has one.
 func (dispatcher *Dispatcher) runs(replica *replica, software string, now time.Time) bool {
