Keep the origins of streams in the store while several software versions serve

Change: while a service has more than one version, or lately had, each entry stores the records of streams that lately began there, every 250 ms if there are new ones (longer in large fleets); an entry that starts reads those of all, and waits up to 1 s for an origin that it does not know yet. The versions that have served are recalled again after the list in force was older than 3 s, as a version may have come and gone meanwhile; till then no stream of unknown origin is joined.

Evidence: TestStreamIsRefusedAfterAllEntriesAreKilledAlthoughItsSoftwareVersionServes fails without the record in the store; with it 30 of 30 streams go on, none of two versions.

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -61,7 +61,7 @@
 	call         *call
 	target       *directory.Target
 	number       uint64 // assigned by the dispatcher
-	started      bool   // the response has begun, see start
+	started      bool   // the response has begun, see start; written with gateway.mu held
 	ended        bool
 	sentAt       time.Time
 	estimate     dispatch.Estimate
@@ -96,11 +96,10 @@
 	if attempt.started {
 		return
 	}
-	attempt.started = true
 	gateway := attempt.call.gateway
-	attempt.firstEvent = gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	attempt.started, attempt.firstEvent = true, gateway.clock.Now()
 	gateway.dispatcher.RecordFirstEvent(attempt.target.Key(), attempt.number, attempt.firstEvent)
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -59,6 +59,7 @@
 	LeaseKey      string        // object key of the planning lease
 	WithheldKey   string        // object key of the withheld requests
 	VersionsKey   string        // object key of the software versions that serve
+	OriginsPrefix string        // of the object keys of the origins of streams, followed by the IP of an entry
 	RateWindow    time.Duration // sliding window over which customers' spending is limited
 	DrainBound    time.Duration // within which a draining target must stop getting new requests
 	ConfigBound   time.Duration // within which a new configuration must be in force
@@ -73,6 +74,7 @@
 	clock         clock.Clock
 	metrics       *metric.Set
 	log           *logs.Logger
+	startedAt     time.Time
 	pool          *exchange.Pool
 	callers       *callerListener
 	server        *fasthttp.Server
@@ -104,6 +106,7 @@
 		options:     options,
 		headers:     options.Headers,
 		clock:       options.Clock,
+		startedAt:   options.Clock.Now(),
 		metrics:     options.Metrics,
 		log:         options.Logs.Component("gateway", options.Name),
 		callerWatch: newCallerWatch(),
@@ -174,6 +177,7 @@
 	group.Go(func() error { return gateway.snapshots.run(ctx) })
 	group.Go(func() error { return (&withheldRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return (&versionRecord{gateway: gateway}).run(ctx) })
+	group.Go(func() error { return (&originRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return gateway.callerWatch.run(ctx, gateway) })
 	group.Go(func() error { return gateway.expirePeriodically(ctx) })
 	group.Go(func() error {
--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -18,6 +18,9 @@
 	originAskTimeout  = 150 * time.Millisecond // for their answers; a caller that takes a stream up waits for them
 	originAskInterval = 40 * time.Millisecond  // until a question without an answer is repeated
 	takeUpMargin      = 30 * time.Second       // after the route's timeout, within which callers take up a stream
+	maxOwnRecords     = 4096
+	newcomerWait      = time.Second            // after its start, an entry waits for others and the store to make an origin known
+	newcomerInterval  = 100 * time.Millisecond // between two questions meanwhile
 	recordsPerMessage = 40                     // keeps a datagram within one packet
 )
 
@@ -28,6 +31,9 @@
 	mu       sync.Mutex // guards the fields below
 	table    *stream.Origins
 	versions *stream.Versions
+	recalled bool        // versions holds what the store has, also after the last gap
+	own      []ownRecord // of streams that began here, oldest first, at most maxOwnRecords
+	begun    uint64      // streams that began here
 
 	beginnings beginnings
 	listed     map[string]*directory.Target // the last list, by ID
@@ -74,6 +80,9 @@
 func (origins *origins) sole(service string, within time.Duration) (software string, ok bool) {
 	origins.mu.Lock()
 	defer origins.mu.Unlock()
+	if !origins.recalled {
+		return "", false
+	}
 	return origins.versions.Sole(service, within, origins.gateway.clock.Now())
 }
 
@@ -101,6 +110,9 @@
 	origins.mu.Lock()
 	added := origins.table.Record(id, origin, retention, now)
 	origins.beginnings.add(target.Key(), beginning{id: id, call: call, at: now})
+	origins.begun++
+	origins.own = append(origins.own, ownRecord{id: id, origin: origin, expires: now.Add(retention)})
+	origins.own = origins.own[max(len(origins.own)-maxOwnRecords, 0):]
 	origins.mu.Unlock()
 	if !added {
 		return
@@ -138,11 +150,27 @@
 }
 
 // origin returns the origin of a stream, from this entry's records or those of the entries
-// that are asked for it.
+// that are asked for it. An entry that has just started knows few other ones and has perhaps
+// not read the store, so it waits for a while.
 func (origins *origins) origin(ctx context.Context, id stream.ID) (origin stream.Origin, known bool) {
-	if origin, known = origins.lookup(id); known {
-		return origin, true
+	gateway := origins.gateway
+	for {
+		if origin, known = origins.lookup(id); known {
+			return origin, true
+		}
+		if origin, known = origins.ask(ctx, id); known || gateway.clock.Now().Sub(gateway.startedAt) >= newcomerWait {
+			return origin, known
+		}
+		select {
+		case <-gateway.clock.After(newcomerInterval):
+		case <-ctx.Done():
+			return 0, false
+		}
 	}
+}
+
+// ask asks other entries for the origin of a stream.
+func (origins *origins) ask(ctx context.Context, id stream.ID) (origin stream.Origin, known bool) {
 	gateway := origins.gateway
 	asked := stream.Keepers(id, gateway.peers.liveEntries(), originsAsked)
 	gateway.metrics.Add("origins.asked", 1)
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -21,6 +21,8 @@
 		peers.answerPermitRequest(from, message)
 	case *wire.StreamOrigins:
 		peers.gateway.origins.receive(message)
+	case *wire.BrokenTarget:
+		peers.gateway.applyBreaks([]wire.BrokenTarget{*message}, peers.gateway.clock.Now())
 	case *wire.OriginRequest:
 		peers.gateway.origins.answer(from, message)
 	case *wire.CommandResult:
--- a/entry/gateway/versionrecord.go
+++ b/entry/gateway/versionrecord.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	versionsInterval = time.Second // between two looks for changes, and before a failed read is repeated
-	versionsTimeout  = time.Second // of one access to the object
+	versionsInterval = 250 * time.Millisecond // between two looks for changes, and before a failed read is repeated
+	versionsTimeout  = time.Second            // of one access to the object
 )
 
 // versionRecord keeps in the store which software versions have served each service lately, so
@@ -25,14 +25,20 @@
 	written []byte // its value
 }
 
+// The history of versions has a gap while the list in force is older than maxSoleListAge: a
+// version may have come and gone meanwhile. Then the object is read again.
+
 func (versionRecord *versionRecord) run(ctx context.Context) error {
-	read := false
 	for ctx.Err() == nil {
 		var err error
 		switch {
-		case !read:
-			err = versionRecord.read(ctx)
-			read = err == nil
+		case versionRecord.gateway.syncer.listAge() > maxSoleListAge:
+			versionRecord.gateway.origins.setRecalled(false)
+		case !versionRecord.gateway.origins.isRecalled():
+			versionRecord.object = 0
+			if err = versionRecord.read(ctx); err == nil {
+				versionRecord.gateway.origins.setRecalled(true)
+			}
 		case versionRecord.gateway.planner.fence() != 0:
 			err = versionRecord.write(ctx)
 		}
@@ -47,6 +53,18 @@
 	return nil
 }
 
+func (origins *origins) setRecalled(recalled bool) {
+	origins.mu.Lock()
+	defer origins.mu.Unlock()
+	origins.recalled = recalled
+}
+
+func (origins *origins) isRecalled() bool {
+	origins.mu.Lock()
+	defer origins.mu.Unlock()
+	return origins.recalled
+}
+
 // read recalls the versions in the store, unless this entry has written or read them last.
 func (versionRecord *versionRecord) read(ctx context.Context) error {
 	gateway := versionRecord.gateway
--- a/kernel/wire/codec_test.go
+++ b/kernel/wire/codec_test.go
@@ -44,6 +44,7 @@
 		&CommandResult{ID: 6, Done: true, Reason: "why", RetryAfter: 7, Origin: 1 << 63},
 		&StreamOrigins{Records: []StreamOrigin{{Stream: 1 << 63, Origin: 3, Retention: time.Minute}, {Stream: 1, Origin: 1 << 63}}},
 		&OriginRequest{ID: 5, Stream: 1 << 63},
+		&BrokenTarget{Target: "t", StartedAt: 1 << 50, Age: 5},
 	} {
 		data, err := EncodeDatagram(message)
 		assert.NilError(t, err)
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -92,6 +92,7 @@
 	datagramPermit
 	datagramOrigins
 	datagramOriginRequest
+	datagramBroken
 )
 
 // EncodeDatagram encodes a message as one datagram. It fails when the message has no
@@ -117,6 +118,8 @@
 		kind = datagramOrigins
 	case *OriginRequest:
 		kind = datagramOriginRequest
+	case *BrokenTarget:
+		kind = datagramBroken
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -154,8 +157,10 @@
 		message = &StreamOrigins{}
 	case datagramOriginRequest:
 		message = &OriginRequest{}
+	case datagramBroken:
+		message = &BrokenTarget{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramOriginRequest)
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramBroken)
 	}
 	return message, parse(data[1:], message)
 }
