Trust neither time nor a break alone that a target has not started anew

Only the target's start time says which streams began before it (within 25 ms; if this entry's time of day was set, none did). - Records that contradict each other counted as unknown, so that another entry's clean record won. Now they are an answer of their own: handed over, stored, and refused. - The version is checked again before the first events of an attempt, not only at its head; the origin is recorded and the list applied in an order that misses none. - With all targets of the version tried, the request was held and the planner asked for the model.

--- a/entry/gateway/beginnings.go
+++ b/entry/gateway/beginnings.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	beginningTTL = 3 * time.Second // within which the list shows a target that has started anew under its ID
-	clockSkew    = time.Second     // between the times of day of a target and an entry
+	beginningTTL = 10 * time.Second      // within which the list shows a target that has started anew under its ID
+	clockSkew    = 25 * time.Millisecond // between the times of day of a target and an entry
+	maxClockStep = 50 * time.Millisecond // of this entry's time of day since its start; after a larger one, times of other machines are not compared with it
 )
 
 // beginnings holds which streams began lately at each target. When it turns out that a target
 // had started anew under its ID, the later ones may have been begun by another software version
 // than was recorded.
 type beginnings struct {
-	streams    map[directory.TargetKey][]beginning // oldest first
-	aliveUntil map[directory.TargetKey]time.Time   // when the target last sent data on a connection that broke later
+	streams map[directory.TargetKey][]beginning // oldest first
 }
 
 // beginning is the beginning of one stream.
@@ -29,7 +29,7 @@
 }
 
 func newBeginnings() beginnings {
-	return beginnings{streams: map[directory.TargetKey][]beginning{}, aliveUntil: map[directory.TargetKey]time.Time{}}
+	return beginnings{streams: map[directory.TargetKey][]beginning{}}
 }
 
 func (beginnings *beginnings) add(key directory.TargetKey, added beginning) {
@@ -41,50 +41,40 @@
 		beginnings.streams[other] = streams
 		if len(streams) == 0 {
 			delete(beginnings.streams, other)
-			delete(beginnings.aliveUntil, other)
 		}
 	}
 }
 
-// recordBreak records that a connection to a target broke that had data at the time last.
-func (beginnings *beginnings) recordBreak(key directory.TargetKey, last time.Time) {
-	if last.After(beginnings.aliveUntil[key]) && len(beginnings.streams[key]) > 0 {
-		beginnings.aliveUntil[key] = last
-	}
-}
-
 // takeAfter removes the streams of a target and returns those that may have begun after it
-// had started anew at startedAt, in Unix milliseconds.
-func (beginnings *beginnings) takeAfter(key directory.TargetKey, startedAt int64, now time.Time) []beginning {
+// had started anew at startedAt, in Unix milliseconds. Without trust in the time of day, these
+// are all.
+func (beginnings *beginnings) takeAfter(key directory.TargetKey, startedAt int64, clockTrusted bool) []beginning {
 	var after []beginning
 	for _, begun := range beginnings.streams[key] {
-		recent := now.Sub(begun.at) <= beginningTTL && begun.at.Add(clockSkew).UnixMilli() >= startedAt
-		if recent && begun.at.After(beginnings.aliveUntil[key]) {
+		if !clockTrusted || begun.at.Add(clockSkew).UnixMilli() >= startedAt {
 			after = append(after, begun)
 		}
 	}
 	delete(beginnings.streams, key)
-	delete(beginnings.aliveUntil, key)
 	return after
 }
 
-// recordBreak records that a connection to a target broke that had data at the time last.
-func (origins *origins) recordBreak(key directory.TargetKey, last time.Time) {
-	origins.mu.Lock()
-	defer origins.mu.Unlock()
-	origins.beginnings.recordBreak(key, last)
-}
-
 // replaced records that the target of key had ended and another incarnation with its ID had
 // started at startedAt. The origins of streams that may have begun there are not known any more,
 // here and at their keepers.
 func (origins *origins) replaced(key directory.TargetKey, service string, startedAt int64) {
 	gateway := origins.gateway
 	origins.mu.Lock()
-	uncertain := origins.beginnings.takeAfter(key, startedAt, gateway.clock.Now())
+	uncertain := origins.beginnings.takeAfter(key, startedAt, gateway.clockTrusted())
 	for _, begun := range uncertain {
 		begun.call.originUncertain.Store(true)
 		origins.table.Record(begun.id, uncertainOrigin, streamRetention(begun.call.route), gateway.clock.Now())
+		for index := range origins.own {
+			if origins.own[index].id == begun.id {
+				origins.own[index].origin = uncertainOrigin
+			}
+		}
+		origins.begun++ // the stored records have changed
 	}
 	origins.mu.Unlock()
 	gateway.metrics.Add("origins.uncertain", int64(len(uncertain)))
@@ -105,3 +95,10 @@
 
 // uncertainOrigin contradicts any origin that is recorded for a stream.
 var uncertainOrigin = stream.NewOrigin("", "")
+
+// clockTrusted reports whether the time of day has not been set since the start of the process.
+func (gateway *Gateway) clockTrusted() bool {
+	now := gateway.clock.Now()
+	step := now.Round(0).Sub(gateway.startedAt.Round(0)) - now.Sub(gateway.startedAt)
+	return step.Abs() <= maxClockStep
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -178,6 +178,7 @@
 	group.Go(func() error { return (&withheldRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return (&versionRecord{gateway: gateway}).run(ctx) })
 	group.Go(func() error { return (&originRecord{gateway: gateway}).run(ctx) })
+	group.Go(func() error { return gateway.origins.run(ctx) })
 	group.Go(func() error { return gateway.callerWatch.run(ctx, gateway) })
 	group.Go(func() error { return gateway.expirePeriodically(ctx) })
 	group.Go(func() error {
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -70,9 +70,24 @@
 
 // suits reports whether the target is known to run the software version that the call needs.
 func (gateway *Gateway) suits(call *call, target *directory.Target) bool {
+	if !call.placement.Continues {
+		return true
+	}
+	gateway.confirmList()
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if call.originUncertain.Load() && gateway.dispatcher.Versioned(call.service) {
+		return false
+	}
+	return gateway.dispatcher.Suits(target.Key(), &call.placement)
+}
+
+// confirmList records with the dispatcher until when the list in force is known to be the newest.
+func (gateway *Gateway) confirmList() {
+	age, now := gateway.syncer.listAge(), gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return gateway.dispatcher.Suits(target.Key(), &call.placement, gateway.clock.Now())
+	gateway.dispatcher.ConfirmList(now.Add(-age))
 }
 
 // declinedRetryAfter returns after how long a call that its last target has declined should
--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -21,6 +21,7 @@
 	maxOwnRecords     = 4096
 	newcomerWait      = time.Second            // after its start, an entry waits for others and the store to make an origin known
 	newcomerInterval  = 100 * time.Millisecond // between two questions meanwhile
+	maxStarted        = 64                     // entries that have started and wait for records
 	recordsPerMessage = 40                     // keeps a datagram within one packet
 )
 
@@ -35,6 +36,7 @@
 	own      []ownRecord // of streams that began here, oldest first, at most maxOwnRecords
 	begun    uint64      // streams that began here
 
+	started    chan netip.AddrPort // entries that have started, to be sent records
 	beginnings beginnings
 	listed     map[string]*directory.Target // the last list, by ID
 }
@@ -42,7 +44,7 @@
 func newOrigins(gateway *Gateway) *origins {
 	return &origins{
 		gateway: gateway, table: stream.NewOrigins(maxOriginRecords), versions: stream.NewVersions(gateway.clock.Now()),
-		beginnings: newBeginnings(),
+		started: make(chan netip.AddrPort, maxStarted), beginnings: newBeginnings(),
 	}
 }
 
@@ -101,9 +103,9 @@
 	return "", "", false
 }
 
-// record keeps the origin of a call's stream that begins at the target, and sends it to its
-// keepers.
-func (origins *origins) record(call *call, target *directory.Target, software string) {
+// record keeps the origin of a call's stream that begins at the target. The caller then calls
+// announce, which sends it to its keepers.
+func (origins *origins) record(call *call, target *directory.Target, software string) (announce func()) {
 	gateway := origins.gateway
 	now := gateway.clock.Now()
 	id, origin, retention := stream.NewID(call.customerName(), call.head.ID), stream.NewOrigin(target.Service(), software), streamRetention(call.route)
@@ -115,12 +117,14 @@
 	origins.own = origins.own[max(len(origins.own)-maxOwnRecords, 0):]
 	origins.mu.Unlock()
 	if !added {
-		return
+		return func() {}
+	}
+	return func() {
+		gateway.metrics.Add("origins.recorded", 1)
+		message := &wire.StreamOrigins{Records: []wire.StreamOrigin{{Stream: uint64(id), Origin: uint64(origin), Retention: retention}}}
+		keepers := stream.Keepers(id, gateway.peers.liveEntries(), originKeepers)
+		gateway.peers.sendEach(keepers, message)
 	}
-	gateway.metrics.Add("origins.recorded", 1)
-	message := &wire.StreamOrigins{Records: []wire.StreamOrigin{{Stream: uint64(id), Origin: uint64(origin), Retention: retention}}}
-	keepers := stream.Keepers(id, gateway.peers.liveEntries(), originKeepers)
-	gateway.peers.sendEach(keepers, message)
 }
 
 // receive keeps records of another entry.
@@ -137,10 +141,16 @@
 	gateway.metrics.SetGauge("origins.dropped", int64(origins.table.Dropped()))
 }
 
-func (origins *origins) lookup(id stream.ID) (stream.Origin, bool) {
+// lookup returns the origin in this entry's records, uncertainOrigin if they contradict each
+// other.
+func (origins *origins) lookup(id stream.ID) (origin stream.Origin, known bool) {
 	origins.mu.Lock()
 	defer origins.mu.Unlock()
-	return origins.table.Lookup(id, origins.gateway.clock.Now())
+	now := origins.gateway.clock.Now()
+	if origins.table.Contradictory(id, now) {
+		return uncertainOrigin, true
+	}
+	return origins.table.Lookup(id, now)
 }
 
 // answer answers another entry's question for an origin.
@@ -199,6 +209,28 @@
 	})
 }
 
+// run sends entries that start the records that they should keep.
+func (origins *origins) run(ctx context.Context) error {
+	for {
+		select {
+		case started := <-origins.started:
+			origins.sendTo(started)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// entryStarted has the records sent that the entry should keep.
+func (origins *origins) entryStarted(address netip.AddrPort) {
+	select {
+	case origins.started <- address:
+	default:
+		origins.gateway.metrics.Add("origins.unsent", 1)
+		origins.gateway.log.Infof("entry %s has started and gets no records of streams, as too many others have", address)
+	}
+}
+
 // sendTo sends an entry that has just started the records that it should keep.
 func (origins *origins) sendTo(started netip.AddrPort) {
 	origins.send(func(id stream.ID, entries []netip.AddrPort) []netip.AddrPort {
@@ -217,6 +249,9 @@
 	entries := gateway.peers.liveEntries()
 	origins.mu.Lock()
 	records := origins.table.Records(gateway.clock.Now())
+	for _, record := range origins.table.Contradictions(gateway.clock.Now()) {
+		records = append(records, stream.NewRecord(record.ID(), uncertainOrigin, record.Retention()))
+	}
 	origins.mu.Unlock()
 	messages := map[netip.AddrPort]*wire.StreamOrigins{}
 	for _, record := range records {
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -57,7 +57,7 @@
 	gateway.applyLimits(state.Limits, now)
 	gateway.applyBreaks(state.Broken, now)
 	if started := peers.applyEntryState(from, state, now); started {
-		gateway.origins.sendTo(from)
+		gateway.origins.entryStarted(from)
 	}
 }
 
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -27,6 +27,9 @@
 	// errUnfinishedStream reports a stream of events whose connection, length or last
 	// chunk ended it inside an event, or before the first one.
 	errUnfinishedStream = errors.New("the stream ended inside an event or before the first one")
+	// errOtherVersion reports a stream that was to go on at a target that may run another
+	// software version than the one that began it.
+	errOtherVersion = errors.New("the target may run another software version")
 )
 
 // relay passes a target's response to the caller, either complete or as a stream.
@@ -181,6 +184,9 @@
 	if complete < 0 {
 		return nil
 	}
+	if relay.sourceLogged != relay.attempt && !relay.call.gateway.suits(relay.call, relay.attempt.target) {
+		return relay.resume(errOtherVersion)
+	}
 	end := len(relay.partial) - len(data) + complete
 	relay.pending = append(relay.pending[:0], relay.partial[:end]...)
 	relay.call.recordOrigin(relay.attempt)
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -320,6 +320,9 @@
 	reported := false // that the model is missing
 	for {
 		changed := gateway.changed.wait()
+		if call.placement.Continues {
+			gateway.confirmList()
+		}
 		now := gateway.clock.Now()
 		gateway.mu.Lock()
 		decision := gateway.dispatcher.Choose(&call.placement, call.tried, now)
--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -338,8 +338,8 @@
 	syncer.logLeaving(listed, version, origin)
 	origin.record(syncer.listFreshness, version)
 	syncer.listed, syncer.list = listed, &document{version: version, content: content}
-	gateway.origins.observe(listed, now)
 	syncer.setTargets(syncer.targetTracker.Update(listed, origin.at), now)
+	gateway.origins.observe(listed, now)
 	if !gateway.targetsKnown.Swap(true) {
 		gateway.log.Infof("list of %d targets received, %d entries skipped", len(syncer.targets), skipped)
 	}
@@ -383,12 +383,13 @@
 		return
 	}
 	gateway.log.Infof("target on %s is now %s, started at Unix ms %d", host, id, startedAt)
-	for _, target := range syncer.targets {
+	before := syncer.targets
+	syncer.setTargets(syncer.targetTracker.Targets(), gateway.clock.Now())
+	for _, target := range before {
 		if target.ID() == id && target.StartedAt() < startedAt && target.Software() != "" {
 			gateway.origins.replaced(target.Key(), target.Service(), startedAt)
 		}
 	}
-	syncer.setTargets(syncer.targetTracker.Targets(), gateway.clock.Now())
 	// The previous incarnation has ended, even if its connections have not been
 	// closed.
 	gateway.cancelAttempts(func(attempt *attempt) bool {
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -49,6 +49,10 @@
 		if fault := call.endFault(code.RanNo); fault != nil {
 			return "", "", fault
 		}
+		if known && origin == uncertainOrigin {
+			gateway.metrics.Add("streams.refused.unknown", 1)
+			return "", "", code.New(code.OriginUnknown, code.RanNo, "the target that began the stream may have started anew before")
+		}
 		if known {
 			service, software, ok := gateway.origins.find(origin, services)
 			if !ok {
@@ -104,27 +108,28 @@
 		return
 	}
 	gateway, target := call.gateway, attempt.target
-	now := gateway.clock.Now()
-	gateway.mu.Lock()
-	software, known := gateway.dispatcher.Software(target.Key(), now)
-	gateway.mu.Unlock()
-	known = known && software == target.Software()
+	gateway.confirmList()
 	call.placement.Continues = true
-	if !known {
+	gateway.mu.Lock()
+	software, known := gateway.dispatcher.Software(target.Key())
+	if known = known && (software == target.Software() || target.Software() == ""); !known {
+		gateway.mu.Unlock()
 		return
 	}
 	call.originRecorded = true
 	call.placement.Software = software
+	announce := func() {}
 	if software != "" {
-		gateway.origins.record(call, target, software)
+		announce = gateway.origins.record(call, target, software) // with gateway.mu held, so that no replacement of the target is missed
 	}
+	gateway.mu.Unlock()
+	announce()
 }
 
 // recordLoss records that the connection of the attempt broke, together with all others to its
 // target or alone.
 func (attempt *attempt) recordLoss(err error) {
 	gateway, key := attempt.call.gateway, attempt.target.Key()
-	gateway.origins.recordBreak(key, attempt.lastData)
 	all := gateway.pool.Lost(attempt.target.Address(), err)
 	gateway.mu.Lock()
 	first := gateway.dispatcher.RecordBreak(key, all, gateway.clock.Now())
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -41,7 +41,7 @@
 	first := dispatcher.firstEvaluated(len(candidates))
 	for index := range candidates {
 		replica := candidates[(first+index)%len(candidates)]
-		if replica.leaving() || request.Continues && !dispatcher.runs(replica, request.Software, now) {
+		if replica.leaving() || request.Continues && !dispatcher.runs(replica, request.Software) {
 			continue
 		}
 		suitable++
@@ -72,9 +72,9 @@
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
 	case shortest.RetryAfter > 0:
 		return shortest
-	case request.Continues && suitable == 0 && !dispatcher.versionServes(request, now):
-		return Refuse{Reason: NoVersion}
-	case request.Model == "" || !dispatcher.acceptsWork(request.Service, tried):
+	case request.Continues && suitable == 0 && !dispatcher.versionServes(request):
+		return dispatcher.refuseVersion(request)
+	case request.Model == "" || !dispatcher.acceptsWork(request, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
 	return dispatcher.decideNotResident(request, now)
@@ -88,11 +88,12 @@
 	return int(dispatcher.lastAttempt % uint64(candidates) * maxEvaluated % uint64(candidates))
 }
 
-// acceptsWork reports whether a service has a target that takes new requests and
-// is not in tried.
-func (dispatcher *Dispatcher) acceptsWork(service string, tried []directory.TargetKey) bool {
-	return slices.ContainsFunc(dispatcher.services[service], func(replica *replica) bool {
-		return !replica.leaving() && !slices.Contains(tried, replica.target.Key())
+// acceptsWork reports whether the request's service has a target that takes new requests, is
+// not in tried, and runs the software version that the request needs.
+func (dispatcher *Dispatcher) acceptsWork(request *Request, tried []directory.TargetKey) bool {
+	return slices.ContainsFunc(dispatcher.services[request.Service], func(replica *replica) bool {
+		return !replica.leaving() && !slices.Contains(tried, replica.target.Key()) &&
+			(!request.Continues || dispatcher.runs(replica, request.Software))
 	})
 }
 
@@ -124,7 +125,7 @@
 	if now.Before(replica.backoffUntil) {
 		candidate.cost += backoffPenalty
 	}
-	if request.Continues && request.Software != "" && replica.broken(now) {
+	if request.Continues && request.Software != "" && dispatcher.broken(replica) {
 		candidate.cost += breakPenalty
 	}
 	if replica.limitConfirmed(now) {
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	lastAttempt      uint64               // number of the newest attempt
 	loading          map[string]time.Time // expected end of each load in progress, by model
 	versioned        map[string]bool      // services with a listed target whose software version is known
+	listAt           time.Time            // when the list of targets was last known to be the newest
 	catalogue        *directory.Directory
 }
 
--- a/kernel/dispatch/software.go
+++ b/kernel/dispatch/software.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	restartUnlisted   = 3 * time.Second        // within which the list shows a target that has started anew: two of its heartbeats and the time that a list takes
+	restartUnlisted   = 3 * time.Second        // after which a list that is the newest shows a target that has started anew: two of its heartbeats and the time that a write takes
 	confirmDelay      = 200 * time.Millisecond // after a break, a report of the same incarnation shows that it still runs
 	breakReportedFor  = time.Second            // to other instances
 	maxReportedBreaks = 16                     // in one message
@@ -18,14 +18,14 @@
 // Software returns the version of the software that a target runs, empty if no target of its
 // service has one. It is not known for a target that may have started anew, nor for one that
 // the list does not show.
-func (dispatcher *Dispatcher) Software(key directory.TargetKey, now time.Time) (software string, known bool) {
+func (dispatcher *Dispatcher) Software(key directory.TargetKey) (software string, known bool) {
 	replica := dispatcher.replicas[key]
 	switch {
 	case replica == nil:
 		return "", false
 	case !dispatcher.versioned[replica.target.Service()]:
 		return "", true
-	case replica.lost(now):
+	case dispatcher.lost(replica):
 		return "", false
 	}
 	software = replica.target.Software()
@@ -34,9 +34,9 @@
 
 // Suits reports whether the target is still known to run the software version that the
 // request needs.
-func (dispatcher *Dispatcher) Suits(key directory.TargetKey, request *Request, now time.Time) bool {
+func (dispatcher *Dispatcher) Suits(key directory.TargetKey, request *Request) bool {
 	replica := dispatcher.replicas[key]
-	return !request.Continues || replica != nil && dispatcher.runs(replica, request.Software, now)
+	return !request.Continues || replica != nil && dispatcher.runs(replica, request.Software)
 }
 
 // Versioned reports whether a listed target of the service has a software version.
@@ -51,7 +51,7 @@
 	if replica == nil {
 		return false
 	}
-	first = !replica.broken(now)
+	first = !dispatcher.broken(replica)
 	replica.brokeAt, replica.ownBreak = now, true
 	if all {
 		replica.lostAt = now
@@ -85,32 +85,56 @@
 
 // versionServes reports whether a target that takes work runs the software version that the
 // request needs, whatever models it holds.
-func (dispatcher *Dispatcher) versionServes(request *Request, now time.Time) bool {
+func (dispatcher *Dispatcher) versionServes(request *Request) bool {
 	return slices.ContainsFunc(dispatcher.services[request.Service], func(replica *replica) bool {
-		return !replica.leaving() && dispatcher.runs(replica, request.Software, now)
+		return !replica.leaving() && dispatcher.runs(replica, request.Software)
 	})
 }
 
+// refuseVersion refuses a stream whose software version no target runs that takes work. The
+// caller may return if one is listed that is only not known to have gone on.
+func (dispatcher *Dispatcher) refuseVersion(request *Request) Refuse {
+	for _, replica := range dispatcher.services[request.Service] {
+		if !replica.leaving() && replica.target.Software() == request.Software {
+			return Refuse{Reason: NoVersion, RetryAfter: defaultRetryAfter}
+		}
+	}
+	return Refuse{Reason: NoVersion}
+}
+
 // runs reports whether a target is known to run a software version. Without a version, it
 // reports whether no target of the service has one.
-func (dispatcher *Dispatcher) runs(replica *replica, software string, now time.Time) bool {
+func (dispatcher *Dispatcher) runs(replica *replica, software string) bool {
 	if software == "" {
 		return !dispatcher.versioned[replica.target.Service()]
 	}
-	return replica.target.Software() == software && !replica.lost(now)
+	return replica.target.Software() == software && !dispatcher.lost(replica)
 }
 
 // lost reports whether all connections to the target were lost lately, and it is not known to
 // have gone on.
-func (replica *replica) lost(now time.Time) bool { return replica.unconfirmed(replica.lostAt, now) }
+func (dispatcher *Dispatcher) lost(replica *replica) bool {
+	return dispatcher.unconfirmed(replica, replica.lostAt)
+}
 
 // broken reports whether a connection to the target broke lately, and it is not known to have
 // gone on.
-func (replica *replica) broken(now time.Time) bool { return replica.unconfirmed(replica.brokeAt, now) }
+func (dispatcher *Dispatcher) broken(replica *replica) bool {
+	return dispatcher.unconfirmed(replica, replica.brokeAt)
+}
 
-func (replica *replica) unconfirmed(since, now time.Time) bool {
-	if since.IsZero() || now.Sub(since) > restartUnlisted {
+// unconfirmed reports whether neither the list nor a report of the same incarnation shows that
+// the target, whose connections broke at the given time, has gone on.
+func (dispatcher *Dispatcher) unconfirmed(replica *replica, brokeAt time.Time) bool {
+	if brokeAt.IsZero() || dispatcher.listAt.Sub(brokeAt) > restartUnlisted {
 		return false
 	}
-	return !replica.reported || replica.report.At.Sub(since) < confirmDelay
+	return !replica.reported || replica.report.At.Sub(brokeAt) < confirmDelay
+}
+
+// ConfirmList records that the list of targets was the newest one at the given time.
+func (dispatcher *Dispatcher) ConfirmList(at time.Time) {
+	if at.After(dispatcher.listAt) {
+		dispatcher.listAt = at
+	}
 }
--- a/kernel/stream/origins.go
+++ b/kernel/stream/origins.go
@@ -135,6 +135,26 @@
 	return origin, origin != 0
 }
 
+// Contradictory reports whether the records of a stream contradict each other.
+func (origins *Origins) Contradictory(id ID, now time.Time) bool {
+	origins.expire(now)
+	index, known := origins.slots[id]
+	return known && origins.records.slots[index].origin == 0
+}
+
+// Contradictions returns the streams whose records contradict each other, without an origin,
+// with the retention that is left to them, in no particular order.
+func (origins *Origins) Contradictions(now time.Time) []Record {
+	origins.expire(now)
+	var records []Record
+	for _, index := range origins.records.order {
+		if slot := origins.records.slots[index]; slot.origin == 0 {
+			records = append(records, NewRecord(slot.id, 0, slot.expiry-now.Sub(origins.base)))
+		}
+	}
+	return records
+}
+
 // Records returns all records that have not expired and are not contradictory, with the
 // retention that is left to them, in no particular order.
 func (origins *Origins) Records(now time.Time) []Record {
