--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	maxOriginRecords  = 32768                  // some 4 MB
+	maxOriginRecords  = 32768                  // some 2.4 MB
 	originKeepers     = 2                      // other entries that are sent a record
 	originsAsked      = 6                      // entries that are asked for a record; more than originKeepers, as entries may know different other ones
 	originAskTimeout  = 150 * time.Millisecond // for their answers; a caller that takes a stream up waits for them
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -139,7 +139,8 @@
 		gateway.log.Infof("connections to target %s are lost; until it is known to run, no stream goes on there: %v", attempt.target.ID(), err)
 	}
 	if first && gateway.peers.count() < peersPerInterval {
-		// In a larger fleet, such messages of all entries would fill the links; the next state says it.
+		// In a larger fleet, such messages of all entries would fill the links. There only the next
+		// state message says it, which may be too late to be of use.
 		gateway.peers.sendEach(gateway.peers.liveEntries(), &wire.BrokenTarget{Target: key.ID, StartedAt: key.StartedAt})
 	}
 }
