--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -57,13 +57,14 @@
 	mu             sync.Mutex
 	idle           map[string][]*conn
 	onDial         func()
+	onClosed       func(address string)
 	closed         bool
 }
 
-// NewPool returns an empty pool. It calls onDial before each dial of a new
-// connection.
-func NewPool(onDial func()) *Pool {
-	return &Pool{idle: map[string][]*conn{}, onDial: onDial}
+// NewPool returns an empty pool. It calls onDial before each dial of a new connection, and
+// onClosed when the peer has closed an idle one.
+func NewPool(onDial func(), onClosed func(address string)) *Pool {
+	return &Pool{idle: map[string][]*conn{}, onDial: onDial, onClosed: onClosed}
 }
 
 // get returns an idle connection to the address, or dials a new one.
@@ -77,7 +78,11 @@
 			idle.used = true
 			return idle, nil
 		}
+		closed := Closed(idle.Conn)
 		_ = idle.Close() // the peer has closed it or sent unsolicited data
+		if closed {
+			pool.onClosed(address)
+		}
 	}
 	pool.onDial()
 	dialer := net.Dialer{
@@ -159,22 +164,32 @@
 	}
 }
 
+// Alive reports whether an idle connection to the address is open, which shows that the
+// process there has not ended since the connection was opened.
+func (pool *Pool) Alive(address string) bool {
+	open, _ := pool.countIdle(address)
+	return open > 0
+}
+
 // Lost reports whether an error on a connection to the address goes with the loss of all
 // others, as when the process there has ended: the connection was refused, or the idle ones
 // have been closed as well. Without an idle connection, there is no evidence of a loss.
 func (pool *Pool) Lost(address string, err error) bool {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return true
-	}
+	open, closed := pool.countIdle(address)
+	return errors.Is(err, syscall.ECONNREFUSED) || open == 0 && closed > 0
+}
+
+func (pool *Pool) countIdle(address string) (open, closed int) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	idle := pool.idle[address]
-	for _, conn := range idle {
-		if !Closed(conn.Conn) {
-			return false
+	for _, conn := range pool.idle[address] {
+		if Closed(conn.Conn) {
+			closed++
+		} else {
+			open++
 		}
 	}
-	return len(idle) > 0
+	return open, closed
 }
 
 // Close closes all idle connections; connections returned later are closed too.
--- a/entry/exchange/exchange_test.go
+++ b/entry/exchange/exchange_test.go
@@ -93,7 +93,7 @@
 	return string(data), true, nil
 }
 
-func newPool() *Pool { return NewPool(func() {}) }
+func newPool() *Pool { return NewPool(func() {}, func(string) {}) }
 
 func TestDoReusesConnection(t *testing.T) {
 	address, accepted := startTarget(t, okResponse("1", "one"), okResponse("2", "two"))
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -119,7 +119,7 @@
 		endChecks:   newEndChecks(),
 	}
 	gateway.draining, gateway.startDraining = context.WithCancel(context.Background())
-	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) })
+	gateway.pool = exchange.NewPool(func() { gateway.metrics.Add("targets.dials", 1) }, gateway.recordClosed)
 	gateway.syncer = newSyncer(gateway)
 	gateway.peers = newPeers(gateway)
 	gateway.planner = newPlanRunner(gateway)
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -129,19 +129,39 @@
 // recordLoss records that the connection of the attempt broke, together with all others to its
 // target or alone.
 func (attempt *attempt) recordLoss(err error) {
-	gateway, key := attempt.call.gateway, attempt.target.Key()
-	all := gateway.pool.Lost(attempt.target.Address(), err)
+	gateway := attempt.call.gateway
+	gateway.recordBroken(attempt.target.Key(), gateway.pool.Lost(attempt.target.Address(), err))
+}
+
+// recordClosed records that the target at an address has closed an idle connection before its
+// time.
+func (gateway *Gateway) recordClosed(address string) {
+	all := !gateway.pool.Alive(address)
+	gateway.mu.Lock()
+	keys := gateway.dispatcher.TargetsAt(address)
+	gateway.mu.Unlock()
+	for _, key := range keys {
+		gateway.recordBroken(key, all)
+	}
+}
+
+// recordBroken records that a connection to a target broke, or all of them, and reports the
+// first time to other entries.
+func (gateway *Gateway) recordBroken(key directory.TargetKey, all bool) {
 	gateway.mu.Lock()
 	first := gateway.dispatcher.RecordBreak(key, all, gateway.clock.Now())
 	gateway.mu.Unlock()
+	if !first {
+		return
+	}
 	if all {
 		gateway.metrics.Add("targets.lost", 1)
-		gateway.log.Infof("connections to target %s are lost; until it is known to run, no stream goes on there: %v", attempt.target.ID(), err)
+		gateway.log.Infof("connections to target %s are lost; until it is known to run, no stream goes on there", key.ID)
 	}
-	if first && gateway.peers.count() < peersPerInterval {
+	if gateway.peers.count() < peersPerInterval {
 		// In a larger fleet, such messages of all entries would fill the links. There only the next
 		// state message says it, which may be too late to be of use.
-		gateway.peers.sendEach(gateway.peers.liveEntries(), &wire.BrokenTarget{Target: key.ID, StartedAt: key.StartedAt})
+		gateway.peers.sendEach(gateway.peers.liveEntries(), &wire.BrokenTarget{Target: key.ID, StartedAt: key.StartedAt, All: all})
 	}
 }
 
@@ -150,17 +170,22 @@
 func (gateway *Gateway) breakReports(now time.Time) []wire.BrokenTarget {
 	var broken []wire.BrokenTarget
 	for _, report := range gateway.dispatcher.BreakReports(now) {
-		broken = append(broken, wire.BrokenTarget{Target: report.Key.ID, StartedAt: report.Key.StartedAt, Age: now.Sub(report.At)})
+		broken = append(broken, wire.BrokenTarget{Target: report.Key.ID, StartedAt: report.Key.StartedAt, Age: now.Sub(report.At), All: report.All})
 	}
 	return broken
 }
 
-// applyBreaks records what another entry has reported of targets whose connections broke.
+// applyBreaks records what another entry has reported of targets whose connections broke. One
+// to which a connection of this entry is open has not ended.
 func (gateway *Gateway) applyBreaks(reported []wire.BrokenTarget, now time.Time) {
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
 	for _, broken := range reported {
 		key := directory.TargetKey{ID: broken.Target, StartedAt: broken.StartedAt}
-		gateway.dispatcher.ApplyBreak(dispatch.Break{Key: key, At: now.Add(-broken.Age)})
+		gateway.mu.Lock()
+		address := gateway.dispatcher.Address(key)
+		gateway.mu.Unlock()
+		all := broken.All && !gateway.pool.Alive(address)
+		gateway.mu.Lock()
+		gateway.dispatcher.ApplyBreak(dispatch.Break{Key: key, At: now.Add(-broken.Age), All: all})
+		gateway.mu.Unlock()
 	}
 }
--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -73,7 +73,7 @@
 	case shortest.RetryAfter > 0:
 		return shortest
 	case request.Continues && suitable == 0 && !dispatcher.versionServes(request):
-		return dispatcher.refuseVersion(request)
+		return dispatcher.decideNoVersion(request)
 	case request.Model == "" || !dispatcher.acceptsWork(request, tried):
 		return Refuse{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 	}
--- a/kernel/dispatch/software.go
+++ b/kernel/dispatch/software.go
@@ -45,13 +45,13 @@
 // RecordBreak records that a connection to a target broke. The target may have started anew at
 // its address, with another software version, before the list shows it; if all connections to
 // it are lost, this is taken for certain. RecordBreak reports whether it is the first break
-// lately.
+// lately, or the first such loss.
 func (dispatcher *Dispatcher) RecordBreak(key directory.TargetKey, all bool, now time.Time) (first bool) {
 	replica := dispatcher.replicas[key]
 	if replica == nil {
 		return false
 	}
-	first = !dispatcher.broken(replica)
+	first = !dispatcher.broken(replica) || all && !dispatcher.lost(replica)
 	replica.brokeAt, replica.ownBreak = now, true
 	if all {
 		replica.lostAt = now
@@ -59,10 +59,30 @@
 	return first
 }
 
-// Break is when a connection to a target broke.
+// TargetsAt returns the targets at an address that are listed.
+func (dispatcher *Dispatcher) TargetsAt(address string) []directory.TargetKey {
+	var keys []directory.TargetKey
+	for key, replica := range dispatcher.replicas {
+		if !replica.unlisted && replica.target.Address() == address {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Address returns the address of a target, empty if it is not known.
+func (dispatcher *Dispatcher) Address(key directory.TargetKey) string {
+	if replica := dispatcher.replicas[key]; replica != nil {
+		return replica.target.Address()
+	}
+	return ""
+}
+
+// Break is when a connection to a target broke, or all of them.
 type Break struct {
 	Key directory.TargetKey
 	At  time.Time
+	All bool
 }
 
 // BreakReports returns the breaks that this instance has lately seen itself.
@@ -70,7 +90,7 @@
 	var breaks []Break
 	for key, replica := range dispatcher.replicas {
 		if replica.ownBreak && now.Sub(replica.brokeAt) < breakReportedFor && len(breaks) < maxReportedBreaks {
-			breaks = append(breaks, Break{Key: key, At: replica.brokeAt})
+			breaks = append(breaks, Break{Key: key, At: replica.brokeAt, All: replica.lostAt.Equal(replica.brokeAt)})
 		}
 	}
 	return breaks
@@ -78,9 +98,16 @@
 
 // ApplyBreak records a break that another instance has seen.
 func (dispatcher *Dispatcher) ApplyBreak(reported Break) {
-	if replica := dispatcher.replicas[reported.Key]; replica != nil && reported.At.After(replica.brokeAt) {
+	replica := dispatcher.replicas[reported.Key]
+	if replica == nil {
+		return
+	}
+	if reported.At.After(replica.brokeAt) {
 		replica.brokeAt, replica.ownBreak = reported.At, false
 	}
+	if reported.All && reported.At.After(replica.lostAt) {
+		replica.lostAt = reported.At
+	}
 }
 
 // versionServes reports whether a target that takes work runs the software version that the
@@ -91,15 +118,20 @@
 	})
 }
 
-// refuseVersion refuses a stream whose software version no target runs that takes work. The
-// caller may return if one is listed that is only not known to have gone on.
-func (dispatcher *Dispatcher) refuseVersion(request *Request) Refuse {
+// decideNoVersion decides on a stream whose software version no target runs that takes work.
+// One that is only not known to have gone on may be shown to soon, by its agent's report.
+func (dispatcher *Dispatcher) decideNoVersion(request *Request) Decision {
+	refuse := Refuse{Reason: NoVersion}
 	for _, replica := range dispatcher.services[request.Service] {
-		if !replica.leaving() && replica.target.Software() == request.Software {
-			return Refuse{Reason: NoVersion, RetryAfter: defaultRetryAfter}
+		switch {
+		case replica.leaving() || replica.target.Software() != request.Software:
+		case replica.reported:
+			return Hold{Reason: NoVersion, Until: request.StartBy}
+		default:
+			refuse.RetryAfter = defaultRetryAfter
 		}
 	}
-	return Refuse{Reason: NoVersion}
+	return refuse
 }
 
 // runs reports whether a target is known to run a software version. Without a version, it
--- a/kernel/wire/brokentarget.go
+++ b/kernel/wire/brokentarget.go
@@ -11,12 +11,14 @@
 	Target    string
 	StartedAt int64         // start of the target, in Unix milliseconds
 	Age       time.Duration // since then
+	All       bool          // all connections of the entry to the target broke
 }
 
 func (brokenTarget *BrokenTarget) appendTo(writer *writer) {
 	writer.string(1, brokenTarget.Target)
 	writer.varint(2, uint64(brokenTarget.StartedAt))
 	writer.duration(3, brokenTarget.Age)
+	writer.bool(4, brokenTarget.All)
 }
 
 func (brokenTarget *BrokenTarget) setField(number protowire.Number, value fieldValue) {
@@ -27,5 +29,7 @@
 		brokenTarget.StartedAt = int64(value.varint)
 	case 3:
 		brokenTarget.Age = value.duration()
+	case 4:
+		brokenTarget.All = value.bool()
 	}
 }
