--- a/entry/gateway/silence_test.go
+++ b/entry/gateway/silence_test.go
@@ -271,3 +271,21 @@
 		})
 	}
 }
+
+func TestCallerLeavesStreamOfOneAttemptAtFrozenTarget(t *testing.T) {
+	const patience = 2400 * time.Millisecond
+	for name, route := range map[string]directory.RouteSpec{"not resumable": notResumable, "one attempt": singleAttempt} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newSilenceFixture(t, "127.0.0.1:1", route)
+			fixture.attempt.call.placement.StartBy = fixture.fake.Now().Add(patience)
+			attempt := fixture.attempt.call.newAttempt(fixture.target)
+			fixture.fake.Advance(patience / 2)
+			fixture.lookForSilence()
+			assert.NilError(t, attempt.ctx.Err(), "its target may still answer")
+			fixture.fake.Advance(patience/2 - 350*time.Millisecond)
+			fixture.lookForSilence()
+			fixture.lookForSilence()
+			assert.Assert(t, attempt.ctx.Err() != nil, "the caller gets no answer before it leaves")
+		})
+	}
+}
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -484,3 +484,19 @@
 	}
 	assert.Assert(t, dispatcher.Stalled(keys[0], number, awake.Add(stallTimeout)))
 }
+
+func TestFrozenTargetIsTakenForIdleWithoutOwnAttempts(t *testing.T) {
+	const reports = 200 * time.Millisecond
+	for name, late := range map[string]time.Duration{"after 0.5 s": 500 * time.Millisecond, "after 1 s": time.Second, "after 2 s": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			dispatcher, keys := newTestDispatcher("frozen", "sound")
+			resident := []directory.ResidentModel{{Model: "m"}}
+			dispatcher.SetReport(keys[0], directory.Report{At: start, Interval: reports, Models: resident})
+			now := start.Add(late)
+			dispatcher.SetReport(keys[1], directory.Report{At: now, Interval: reports, Models: resident, Running: 3, Starting: 1})
+			request := newTestRequest()
+			request.StartBy, request.Deadline = now.Add(2*time.Second), now.Add(10*time.Second)
+			assert.Equal(t, sentTo(t, dispatcher.Choose(request, nil, now)), "sound", "the agent of the other one has been silent for %v", late)
+		})
+	}
+}
