--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -90,6 +90,9 @@
 	now := call.gateway.clock.Now()
 	attempt := &attempt{call: call, target: target, sentAt: now, estimate: call.estimate, outcome: dispatch.Failed, request: call.placement, sendsBefore: call.sends}
 	attempt.ctx, attempt.cancel = context.WithCancel(call.ctx)
+	if age := call.estimate.ReportAge; call.placement.Model != "" && (age < 0 || age > unreportedAge) {
+		call.gateway.metrics.Add("attempts.unreported", 1)
+	}
 	call.gateway.mu.Lock()
 	defer call.gateway.mu.Unlock()
 	attempt.leaving.allowed = call.route.Repeatable() && call.sends+1 < call.route.Attempts()
@@ -98,6 +101,10 @@
 	return attempt
 }
 
+// unreportedAge is the age of the last report from which on an attempt counts as sent to a target
+// whose agent does not report.
+const unreportedAge = 400 * time.Millisecond
+
 // start records that the response has begun: at its first data if it is a stream,
 // once it is complete otherwise. Later calls do nothing.
 func (attempt *attempt) start() {
@@ -149,6 +156,9 @@
 	attempt.logOutcome(now)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	if errors.Is(context.Cause(attempt.call.ctx), errCallerGone) && gateway.dispatcher.Silent(attempt.target.Key(), now) {
+		gateway.metrics.Add("callers.left.silent", 1)
+	}
 	gateway.dispatcher.RecordEnd(attempt.target.Key(), attempt.number, outcome, now)
 	delete(gateway.attempts, attempt.number)
 	attempt.cancel()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -287,6 +287,7 @@
 		usage := gateway.limiter.Usage(gateway.clock.Now())
 		gateway.mu.Unlock()
 		gateway.recordUsage(usage)
+		gateway.metrics.SetGauge("targets.unreported", int64(gateway.peers.countUnreported()))
 		gateway.pool.Retain(gateway.syncer.addresses())
 	}
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -378,6 +378,21 @@
 	}
 }
 
+// countUnreported returns the number of engines of which no agent has reported lately.
+func (peers *peers) countUnreported() int {
+	engines := peers.gateway.syncer.engineTargets()
+	now := peers.gateway.clock.Now()
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	unreported := 0
+	for _, target := range engines {
+		if last, known := peers.agentStates[target.Key()]; !known || peers.gateway.silence(last.at, now) > stateMaxAge {
+			unreported++
+		}
+	}
+	return unreported
+}
+
 // recordAdapterUse records that a request uses an adapter, so that the agent
 // keeps it resident.
 func (peers *peers) recordAdapterUse(key directory.TargetKey, request *dispatch.Request) {
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -288,6 +288,12 @@
 	return callerLeaving || replica.silentFor(stallTimeout, now, dispatcher.lateness)
 }
 
+// Silent reports whether a target seems frozen: neither it nor its agent has sent anything lately.
+func (dispatcher *Dispatcher) Silent(key directory.TargetKey, now time.Time) bool {
+	replica := dispatcher.replicas[key]
+	return replica != nil && replica.silent(now, dispatcher.lateness)
+}
+
 // RecordActivity records that a target has sent anything at all.
 func (dispatcher *Dispatcher) RecordActivity(key directory.TargetKey, now time.Time) {
 	if replica := dispatcher.replicas[key]; replica != nil {
