Have the planner run agents for engines whose own agents are silent

Cause: only the agent beside an engine reported its state and gave it orders. Without one, the planner took the engine for unusable, and entries sent commands for adapters to an address where nobody listens, for up to 0.7 of the time that a request had. So what was served fell as demand moved and engines came back empty. Class of fault: an entry knows a target by its agent alone.

Change: the entry that plans runs package sidecar, in its own process, for each engine whose agent it has not heard for 0.4 s (2.5 s if it was never heard). It asks the engine for reports each 0.5 s and sends them to all entries, and gives orders once the agent has been silent for 3 s. The right to order: its fence is twice the revision of a renewal of its lease after its first claim; an agent's is twice the revision of its start, plus one. Claims go to the agent each 0.2 s; one that starts, or did not run for 0.6 s, orders only once the planner says that it does not, or no claim has come for 1 s. An agent that is back is heard, and the planner stops; it goes on claiming until 3 s after its last order. Orders are refused if the lease does not last for another 0.5 s. Reports from another machine are late: older ones than the last accepted order are ignored, and adapters count as loaded 20 ms after that was accepted.

Ways weighed: entries order always, agents only observe (one way, but each adapter, 5 to 14 ms to load, would wait for the planner, and none would load for 3 s after its loss); leases of agents in the store (a renewal each second for each engine).

--- a/entry/gateway/commands.go
+++ b/entry/gateway/commands.go
@@ -78,7 +78,7 @@
 // loadAdapter has the target's agent load the adapter that a call needs, and
 // waits for the result. It returns whether the adapter was loaded.
 func (gateway *Gateway) loadAdapter(call *call, target *directory.Target) bool {
-	address, err := gateway.peers.agentAddress(target)
+	address, err := gateway.peers.commandAddress(target)
 	if err != nil {
 		gateway.log.Warnf("agent of target %s has no address: %v", target.ID(), err)
 		return false
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -58,16 +58,17 @@
 	Logs          *logs.Root
 	Metrics       *metric.Set
 	Incarnation   uint64
-	Store         object.Store  // holds the planning lease
-	LeaseKey      string        // object key of the planning lease
-	WithheldKey   string        // object key of the withheld requests
-	VersionsKey   string        // object key of the software versions that serve
-	OriginsPrefix string        // of the object keys of the origins of streams, followed by the IP of an entry
-	RateWindow    time.Duration // sliding window over which customers' spending is limited
-	DrainBound    time.Duration // within which a draining target must stop getting new requests
-	ConfigBound   time.Duration // within which a new configuration must be in force
-	LoadWindow    time.Duration // over which model loads from the weight store are counted
-	Retries       retry.Limits  // of all entries, for each service
+	Store         object.Store                          // holds the planning lease
+	LeaseKey      string                                // object key of the planning lease
+	WithheldKey   string                                // object key of the withheld requests
+	VersionsKey   string                                // object key of the software versions that serve
+	OriginsPrefix string                                // of the object keys of the origins of streams, followed by the IP of an entry
+	RateWindow    time.Duration                         // sliding window over which customers' spending is limited
+	DrainBound    time.Duration                         // within which a draining target must stop getting new requests
+	ConfigBound   time.Duration                         // within which a new configuration must be in force
+	LoadWindow    time.Duration                         // over which model loads from the weight store are counted
+	Retries       retry.Limits                          // of all entries, for each service
+	NewEngine     func(address string) directory.Engine // returns a client for reports and orders of the target at HOST:PORT
 }
 
 // Gateway is one entry of a deployment.
@@ -97,6 +98,7 @@
 	planner        *planRunner
 	snapshots      *snapshots
 	targetWatch    *targetWatch
+	remoteAgents   *remoteAgents
 	retries        *retry.Budget
 	mu             sync.Mutex // guards the fields below
 	dispatcher     *dispatch.Dispatcher
@@ -136,6 +138,7 @@
 	gateway.planner = newPlanRunner(gateway)
 	gateway.snapshots = newSnapshots(gateway)
 	gateway.targetWatch = newTargetWatch(gateway)
+	gateway.remoteAgents = newRemoteAgents(gateway)
 	gateway.origins = newOrigins(gateway)
 	gateway.server = &fasthttp.Server{
 		Handler:                      gateway.handle,
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -58,10 +58,12 @@
 	ownShare           *permit.Issuer                                   // of the share of permits of this entry
 }
 
-// agentState is an agent's last message and its time of arrival.
+// agentState is an agent's last message, or the planner's for a target whose agent is silent, and
+// its time of arrival.
 type agentState struct {
 	state  *wire.TargetState
 	models []directory.ResidentModel // of the last message that listed them
+	from   netip.AddrPort
 	at     time.Time
 	fullAt time.Time // arrival of the last message that listed the subscribed entries
 }
@@ -223,6 +225,7 @@
 	now := peers.gateway.clock.Now()
 	state := peers.newState(true, now)
 	state.Leaving = leaving
+	held := peers.gateway.remoteAgents.held()
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.PlanFence != 0 {
@@ -253,7 +256,7 @@
 	}
 	// First, since a link that is full of the others drops what is sent after them.
 	subscription := *state
-	peers.subscribe(&subscription)
+	peers.subscribe(&subscription, held)
 	for needs, addresses := range receivers {
 		message := *state
 		if !needs.demand {
@@ -268,22 +271,25 @@
 
 // subscribe sends the state to the agents of engines, with the adapters that this
 // entry has used at each target since the last round. Agents that receive it send
-// their own state to this entry. The message state is modified. The caller must
-// hold mu.
-func (peers *peers) subscribe(state *wire.EntryState) {
+// their own state to this entry. Held are the addresses of the targets to which this
+// entry itself gives the orders. The message state is modified. The caller must hold mu.
+func (peers *peers) subscribe(state *wire.EntryState, held map[string]bool) {
 	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects, state.Limits, state.Broken, state.Admitted = nil, nil, nil, nil, nil, nil, nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
 			continue // the listed host is not an IP address; loadAdapter and execute log the error
 		}
-		state.UsedAdapters, state.InventoryVersion = state.UsedAdapters[:0], 0
-		if last, known := peers.agentStates[target.Key()]; known {
-			state.InventoryVersion = last.state.InventoryVersion
-		}
+		state.UsedAdapters, state.InventoryVersion, state.HoldsOrders = state.UsedAdapters[:0], 0, held[target.Address()]
 		for use := range peers.usedAdapters[target.Key()] {
 			state.UsedAdapters = append(state.UsedAdapters, use)
 		}
+		switch last, known := peers.agentStates[target.Key()]; {
+		case known && last.state.Remote && len(state.UsedAdapters) > 0:
+			peers.send(last.from, &wire.AdaptersUsed{Target: target.ID(), Used: state.UsedAdapters})
+		case known && !last.state.Remote:
+			state.InventoryVersion = last.state.InventoryVersion
+		}
 		peers.send(address, state)
 	}
 	clear(peers.usedAdapters)
@@ -294,6 +300,28 @@
 	return netip.ParseAddrPort(net.JoinHostPort(target.Host(), strconv.Itoa(peers.gateway.options.PeerPort+agentPortOffset)))
 }
 
+// commandAddress returns the address to which commands for a target are sent: that of its agent, or
+// of the entry that runs one for it.
+func (peers *peers) commandAddress(target *directory.Target) (netip.AddrPort, error) {
+	peers.mu.Lock()
+	last, known := peers.agentStates[target.Key()]
+	peers.mu.Unlock()
+	if known && last.state.Remote {
+		return last.from, nil
+	}
+	return peers.agentAddress(target)
+}
+
+// ownAddress returns the address of this entry.
+func (peers *peers) ownAddress() netip.AddrPort {
+	options := peers.gateway.options
+	address, err := netip.ParseAddrPort(net.JoinHostPort(options.IP, strconv.Itoa(options.PeerPort)))
+	if err != nil {
+		peers.gateway.log.Warnf("the address of this entry cannot be parsed: %v", err)
+	}
+	return address
+}
+
 // send sends a message. The socket must be open.
 func (peers *peers) send(to netip.AddrPort, message wire.Message) {
 	peers.sendAll([]netip.AddrPort{to}, message)
@@ -386,7 +414,7 @@
 	defer peers.mu.Unlock()
 	unreported := 0
 	for _, target := range engines {
-		if last, known := peers.agentStates[target.Key()]; !known || peers.gateway.silence(last.at, now) > stateMaxAge {
+		if last, known := peers.agentStates[target.Key()]; !known || last.state.Remote || peers.gateway.silence(last.at, now) > stateMaxAge {
 			unreported++
 		}
 	}
@@ -413,8 +441,8 @@
 		return
 	}
 	address, err := peers.agentAddress(target)
-	if err != nil {
-		return // the listed host is not an IP address; loadAdapter and execute log the error
+	if err != nil || !peers.hasAgent(target.Key()) {
+		return // the listed host is not an IP address, which loadAdapter and execute log, or nobody listens there
 	}
 	sent := &wire.SentPrompt{ID: id, Urgency: request.Urgency, Tokens: request.PromptTokens}
 	for _, part := range request.SharedParts() {
--- a/entry/gateway/permits.go
+++ b/entry/gateway/permits.go
@@ -117,8 +117,8 @@
 func (peers *peers) hasAgent(key directory.TargetKey) bool {
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	_, known := peers.agentStates[key]
-	return known
+	last, known := peers.agentStates[key]
+	return known && !last.state.Remote
 }
 
 // requestPermit asks an agent or another entry for a permit.
--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -96,6 +96,7 @@
 		if planRunner.gateway.ready() && planRunner.shouldLead(now) {
 			planRunner.renew(ctx, now)
 		}
+		planRunner.updateRemoteAgents(ctx)
 		planRunner.plan(ctx)
 		planRunner.gateway.sleep(ctx, planMinInterval)
 		select {
@@ -107,6 +108,25 @@
 	return nil
 }
 
+// updateRemoteAgents has this entry run agents for targets whose own ones are silent while it plans.
+func (planRunner *planRunner) updateRemoteAgents(ctx context.Context) {
+	planRunner.updateFence()
+	planRunner.mu.Lock()
+	fence := planRunner.heldFence
+	renewedAt, revision := planRunner.lease.Renewal()
+	planRunner.mu.Unlock()
+	planRunner.gateway.remoteAgents.update(ctx, fence, renewedAt, revision)
+}
+
+// mayOrder reports whether this entry plans for long enough that an order that is sent now arrives
+// meanwhile.
+func (planRunner *planRunner) mayOrder() bool {
+	planRunner.mu.Lock()
+	defer planRunner.mu.Unlock()
+	_, held := planRunner.lease.Held(planRunner.gateway.clock.Now().Add(orderMargin))
+	return held && planRunner.heldFence != 0
+}
+
 // wake brings the next planning round forward.
 func (planRunner *planRunner) wake() {
 	select {
@@ -202,7 +222,7 @@
 	if target == nil {
 		return // no longer in force
 	}
-	address, err := gateway.peers.agentAddress(target)
+	address, err := gateway.peers.commandAddress(target)
 	if err != nil {
 		gateway.log.Warnf("agent of target %s has no address: %v", target.ID(), err)
 		return
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -28,6 +28,10 @@
 		peers.gateway.origins.receive(message)
 	case *wire.BrokenTarget:
 		peers.gateway.applyBreaks([]wire.BrokenTarget{*message}, arrivedAt)
+	case *wire.Command:
+		peers.gateway.remoteAgents.command(from, message)
+	case *wire.AdaptersUsed:
+		peers.gateway.remoteAgents.recordUse(message)
 	case *wire.OriginRequest:
 		peers.gateway.origins.answer(from, message)
 	case *wire.CommandResult:
@@ -121,23 +125,31 @@
 	return !sameIncarnation
 }
 
-// receiveTarget handles an agent's message.
+// receiveTarget handles a message of an agent, or of the entry that runs one for its target.
 func (peers *peers) receiveTarget(from netip.AddrPort, state *wire.TargetState, arrivedAt time.Time) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	key := directory.TargetKey{ID: state.Target, StartedAt: state.StartedAt}
+	if !state.Remote {
+		gateway.remoteAgents.recordHeard(from.Addr(), state.Interval, arrivedAt)
+	}
 	peers.mu.Lock()
 	before, known := peers.agentStates[key]
-	if known && before.state.Number > state.Number && arrivedAt.Sub(before.at) < reorderWindow {
+	sameSender := known && before.from == from
+	if sameSender && before.state.Number > state.Number && arrivedAt.Sub(before.at) < reorderWindow {
 		peers.mu.Unlock()
 		return // a newer message arrived first
 	}
+	if state.Remote && known && !before.state.Remote && gateway.silence(before.at, now) < agentObserveAfter {
+		peers.mu.Unlock()
+		return // the target's own agent is heard here
+	}
 	listed, fullAt := state.Entries, arrivedAt
 	if len(state.Entries) == 0 {
 		fullAt = before.fullAt
 	}
 	if !state.Full {
-		if !known || before.state.InventoryVersion != state.InventoryVersion {
+		if !sameSender || before.state.InventoryVersion != state.InventoryVersion {
 			peers.mu.Unlock()
 			return // refers to a full message that has not arrived; the agent sends another
 		}
@@ -145,8 +157,10 @@
 	} else if known && len(state.Entries) == 0 {
 		state.Entries = before.state.Entries
 	}
-	stored := agentState{state: state, models: before.models, at: arrivedAt, fullAt: fullAt}
-	if state.Full {
+	stored := agentState{state: state, models: before.models, from: from, at: arrivedAt, fullAt: fullAt}
+	// The planner's messages are all full ones.
+	sameInventory := !state.Full || state.Remote && sameSender && before.state.InventoryVersion == state.InventoryVersion
+	if !sameInventory {
 		stored.models = residentModels(state)
 	}
 	for _, entry := range listed {
@@ -163,7 +177,7 @@
 	}
 	loading := peers.loadEnds
 	peers.mu.Unlock()
-	if !known {
+	if !known && !state.Remote {
 		gateway.syncer.targetReplaced(from.Addr().String(), state.Target, state.StartedAt)
 	}
 	gateway.mu.Lock()
@@ -173,7 +187,7 @@
 	gateway.mu.Unlock()
 	// Calls are held for models and for targets whose version has to be confirmed; the load alone
 	// changes nothing for them.
-	if state.Full || known && state.Unreachable != before.state.Unreachable || arrivedAt.Sub(before.at) > quietInterval || gateway.heldForVersion.Load() > 0 {
+	if !sameInventory || known && state.Unreachable != before.state.Unreachable || arrivedAt.Sub(before.at) > quietInterval || gateway.heldForVersion.Load() > 0 {
 		gateway.changed.broadcast()
 	}
 }
@@ -210,7 +224,7 @@
 		At: last.at, Queued: state.Waiting, Running: state.Running, Starting: state.Starting, Busy: state.Busy,
 		BusyFor: state.BusyFor, Draining: state.Draining, RemovedIn: state.RemovedIn, Sequence: state.Sequence, UsedKV: state.UsedKV,
 		TotalKV: state.TotalKV, LoadingAdapters: state.Pending, HostModels: state.Host, DiskModels: state.Disk, StartedAt: state.StartedAt,
-		Models: last.models, Interval: state.Interval, Unreachable: state.Unreachable,
+		Models: last.models, Interval: state.Interval, Unreachable: state.Unreachable, Remote: state.Remote, NoOrders: !state.CanSendOrders,
 	}
 	for _, tokens := range state.Unread {
 		report.Unread = append(report.Unread, int(tokens))
--- /dev/null
+++ b/entry/gateway/remoteagents.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"sync"
+	"time"
+
+	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/orders"
+	"endiverill.example/kernel/sidecar"
+	"endiverill.example/kernel/wire"
+)
+
+const (
+	agentObserveAfter  = 400 * time.Millisecond  // silence of an agent after which the planner asks its target; longer if its messages are further apart
+	agentStartTime     = 2500 * time.Millisecond // an agent that has not been heard yet may be starting for that long
+	agentTakeOverAfter = 1200 * time.Millisecond // from the first claim, which an agent that runs answers, to the first order; agents suspend their orders after half of it
+	orderPause         = 3 * time.Second         // at least, between orders of an agent and of the planner: holders may not take turns within it
+	heardRetention     = 30 * time.Second        // after which it makes no difference whether an agent was ever heard
+	orderMargin        = 500 * time.Millisecond  // for which the planner's lease must last beyond the sending of an order
+	remoteStateRate    = 600                     // state messages a second that the planner sends to other entries beside changes
+	claimInterval      = 200 * time.Millisecond  // between two claims to one agent, at least
+	minRemoteInterval  = 500 * time.Millisecond  // between two state messages of a target without a change
+)
+
+// remoteAgents are the agents that this entry runs, while it plans for the fleet, for engines whose
+// own agents are silent: those without a machine beside them, and those whose agent has ended or
+// stands still. So whether an engine is known, and which models it holds, does not depend on its
+// agent alone. The planner first asks the engine for reports, which shows all entries whether it
+// stands still too, and then takes the orders over. It hands them back once it hears the agent.
+type remoteAgents struct {
+	gateway *Gateway
+	mu      sync.Mutex              // guards the fields below
+	running map[string]*remoteAgent // by address of the engine
+	listed  map[string]time.Time    // when this entry first saw the engine, by address
+	heard   map[netip.Addr]agentHeard
+}
+
+// agentHeard is when an agent was last heard.
+type agentHeard struct {
+	at       time.Time
+	interval time.Duration // longest time until its next message
+}
+
+// remoteAgent is one agent that this entry runs.
+type remoteAgent struct {
+	sidecar  *sidecar.Sidecar
+	stop     context.CancelFunc
+	key      directory.TargetKey
+	agent    netip.AddrPort // address of the engine's own agent
+	since    time.Time      // start of the claims
+	fence    uint64         // of the orders, 0 before the first
+	ended    bool           // no order is given any more, since its own agent is back
+	sentAt   time.Time      // when the state was last sent to all entries
+	claimed  time.Time      // when the last claim was sent
+	planning uint64         // fence of the planner
+	version  uint64         // of the configuration in use
+}
+
+func newRemoteAgents(gateway *Gateway) *remoteAgents {
+	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, heard: map[netip.Addr]agentHeard{}}
+}
+
+// recordHeard records a message of the agent on a host.
+func (remoteAgents *remoteAgents) recordHeard(host netip.Addr, interval time.Duration, at time.Time) {
+	remoteAgents.mu.Lock()
+	defer remoteAgents.mu.Unlock()
+	if last := remoteAgents.heard[host]; at.After(last.at) {
+		remoteAgents.heard[host] = agentHeard{at: at, interval: interval}
+	}
+}
+
+// update starts, continues and ends the agents that this entry runs. PlanFence is the fence of this
+// entry's planner, 0 if it does not plan; renewedAt and revision are of its last write to the lease.
+func (remoteAgents *remoteAgents) update(ctx context.Context, planFence uint64, renewedAt time.Time, revision uint64) {
+	gateway := remoteAgents.gateway
+	now := gateway.clock.Now()
+	engines := gateway.syncer.engineTargets()
+	claims := map[netip.AddrPort]*wire.OrderClaim{}
+	remoteAgents.mu.Lock()
+	addresses := map[string]bool{}
+	for _, target := range engines {
+		address := target.Address()
+		addresses[address] = true
+		if remoteAgents.listed[address].IsZero() {
+			remoteAgents.listed[address] = now
+		}
+		if planFence != 0 {
+			remoteAgents.updateTarget(ctx, target, planFence, now)
+		}
+	}
+	maps.DeleteFunc(remoteAgents.heard, func(_ netip.Addr, last agentHeard) bool { return now.Sub(last.at) > heardRetention })
+	maps.DeleteFunc(remoteAgents.listed, func(address string, _ time.Time) bool { return !addresses[address] })
+	for address, remoteAgent := range remoteAgents.running {
+		if planFence != remoteAgent.planning || !addresses[address] || remoteAgent.ended && now.Sub(remoteAgent.sidecar.OrderedAt()) > orderPause {
+			remoteAgent.stop()
+			delete(remoteAgents.running, address)
+			continue
+		}
+		// An agent that has given orders started before the first claim, and so before a renewal after it.
+		heard := remoteAgents.heard[remoteAgent.agent.Addr()].at
+		if remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
+			now.Sub(remoteAgent.since) >= agentTakeOverAfter && gateway.silence(heard, now) >= orderPause {
+			remoteAgent.fence = orders.PlannerFence(revision)
+			remoteAgent.sidecar.SetFence(ctx, remoteAgent.fence)
+		}
+		if now.Sub(remoteAgent.claimed) >= claimInterval {
+			remoteAgent.claimed = now
+			claims[remoteAgent.agent] = &wire.OrderClaim{PlanFence: remoteAgent.planning, Fence: remoteAgent.fence}
+		}
+	}
+	count := len(remoteAgents.running)
+	remoteAgents.mu.Unlock()
+	gateway.metrics.SetGauge("targets.remote_agents", int64(count))
+	for agent, claim := range claims {
+		gateway.peers.sendEach([]netip.AddrPort{agent}, claim)
+	}
+}
+
+// updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
+// is heard again. The caller must hold mu.
+func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) {
+	gateway := remoteAgents.gateway
+	agent, err := gateway.peers.agentAddress(target)
+	if err != nil {
+		return // the listed host is not an IP address; loadAdapter and execute log the error
+	}
+	heard, known := remoteAgents.heard[agent.Addr()]
+	silent := known && gateway.silence(heard.at, now) >= max(agentObserveAfter, 2*heard.interval) ||
+		!known && gateway.silence(remoteAgents.listed[target.Address()], now) >= agentStartTime
+	running := remoteAgents.running[target.Address()]
+	if running != nil {
+		remoteAgents.setService(running, target)
+	}
+	switch {
+	case running == nil && silent:
+		remoteAgents.start(ctx, target, agent, planFence, now)
+	case running != nil && !silent && !running.ended:
+		running.ended = true
+		running.sidecar.SetFence(ctx, 0)
+		gateway.log.Infof("the agent of target %s is heard again", target.ID())
+	}
+}
+
+// start starts an agent for an engine. The caller must hold mu.
+func (remoteAgents *remoteAgents) start(ctx context.Context, target *directory.Target, agent netip.AddrPort, planFence uint64, now time.Time) {
+	gateway := remoteAgents.gateway
+	ctx, cancel := context.WithCancel(ctx)
+	started := &remoteAgent{stop: cancel, key: target.Key(), agent: agent, since: now, planning: planFence}
+	started.sidecar = sidecar.New(sidecar.Options{
+		Name: gateway.options.Name, Target: target.Address(), Service: target.Service(),
+		Engine: leasedEngine{gateway.options.NewEngine(target.Address()), gateway.planner.mayOrder},
+		Clock:  gateway.clock, Logs: gateway.options.Logs, Metrics: gateway.metrics,
+		Remote: &sidecar.Remote{
+			Key: target.Key(), Models: target.Models(), Send: gateway.peers.sendEach,
+			Publish: func(state *wire.TargetState, changed bool) { remoteAgents.publish(started, state, changed) },
+		},
+	})
+	remoteAgents.setService(started, target)
+	remoteAgents.running[target.Address()] = started
+	gateway.log.Infof("the agent of target %s is silent, runs one for it", target.ID())
+	go func() {
+		if err := started.sidecar.RunRemote(ctx); err != nil {
+			gateway.log.Warnf("agent for target %s ended: %v", target.ID(), err)
+		}
+	}()
+}
+
+// setService passes the description of a target's service to its agent.
+func (remoteAgents *remoteAgents) setService(remoteAgent *remoteAgent, target *directory.Target) {
+	if current := remoteAgents.gateway.current.Load(); current != nil && current.Version() != remoteAgent.version {
+		remoteAgent.version = current.Version()
+		if service := current.Service(target.Service()); service != nil {
+			remoteAgent.sidecar.SetService(service)
+		}
+	}
+}
+
+// held returns the addresses of the engines to which this entry gives the orders.
+func (remoteAgents *remoteAgents) held() map[string]bool {
+	remoteAgents.mu.Lock()
+	defer remoteAgents.mu.Unlock()
+	held := map[string]bool{}
+	for address, remoteAgent := range remoteAgents.running {
+		held[address] = remoteAgent.fence != 0
+	}
+	return held
+}
+
+// publish passes the state of an engine to this entry, and to the others if it has changed or they
+// have not had it for a while.
+func (remoteAgents *remoteAgents) publish(remoteAgent *remoteAgent, state *wire.TargetState, changed bool) {
+	gateway := remoteAgents.gateway
+	now := gateway.clock.Now()
+	others := gateway.peers.addresses()
+	remoteAgents.mu.Lock()
+	interval := max(minRemoteInterval, time.Second*time.Duration(len(remoteAgents.running)*len(others))/remoteStateRate)
+	due := changed || now.Sub(remoteAgent.sentAt) >= interval
+	if due {
+		remoteAgent.sentAt = now
+	}
+	remoteAgents.mu.Unlock()
+	gateway.peers.receiveTarget(gateway.peers.ownAddress(), state, now)
+	if due {
+		gateway.peers.sendEach(others, state)
+	}
+}
+
+// find returns the agent that this entry runs for a target, nil if there is none.
+func (remoteAgents *remoteAgents) find(target string) *sidecar.Sidecar {
+	remoteAgents.mu.Lock()
+	defer remoteAgents.mu.Unlock()
+	for _, listed := range remoteAgents.gateway.syncer.engineTargets() {
+		if running := remoteAgents.running[listed.Address()]; running != nil && listed.ID() == target {
+			return running.sidecar
+		}
+	}
+	return nil
+}
+
+// command passes an entry's command to the agent of its target.
+func (remoteAgents *remoteAgents) command(from netip.AddrPort, command *wire.Command) {
+	if agent := remoteAgents.find(command.Target); agent != nil {
+		agent.HandleCommand(context.Background(), from, command)
+		return
+	}
+	remoteAgents.gateway.peers.sendEach([]netip.AddrPort{from}, &wire.CommandResult{ID: command.ID, Reason: "this entry gives the target no orders"})
+}
+
+// recordUse records the adapters that an entry uses at a target.
+func (remoteAgents *remoteAgents) recordUse(used *wire.AdaptersUsed) {
+	if agent := remoteAgents.find(used.Target); agent != nil {
+		agent.RecordUse(used.Used)
+	}
+}
+
+// leasedEngine gives orders only while the planner's lease lasts for long enough.
+type leasedEngine struct {
+	directory.Engine
+	mayOrder func() bool
+}
+
+// Order gives an order to the target, and refuses it itself if the lease may end before it arrives.
+func (leasedEngine leasedEngine) Order(ctx context.Context, order directory.Order) (directory.OrderOutcome, error) {
+	if !leasedEngine.mayOrder() {
+		return directory.OrderRefused, nil
+	}
+	return leasedEngine.Engine.Order(ctx, order)
+}
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -110,6 +110,8 @@
 	Unread          []int         // prompt tokens that the target has yet to read, by urgency; nil if unknown
 	Interval        time.Duration // longest time until the next report; 0 if unknown
 	Unreachable     bool          // the target does not answer its agent
+	NoOrders        bool          // nobody gives the target orders now
+	Remote          bool          // made by another machine than the target's, whose silence says nothing of the target
 	Limited         bool          // the target named a limit with the report; only in a report from the target itself
 	Limit           float64       // requests a second, if Limited
 }
--- a/kernel/lease/lease.go
+++ b/kernel/lease/lease.go
@@ -125,6 +125,12 @@
 	return lease.renewedAt.Add(time.Duration(float64(lease.params.Duration) * (1 - lease.params.Drift)))
 }
 
+// Renewal returns when the last successful acquisition or renewal was sent, and the version of
+// the record that it wrote.
+func (lease *Lease) Renewal() (sentAt time.Time, version uint64) {
+	return lease.renewedAt, lease.version
+}
+
 // Record returns the record as last read or written.
 func (lease *Lease) Record() Record { return lease.record }
 
--- /dev/null
+++ b/kernel/orders/right.go
@@ -0,0 +1,61 @@
+package orders
+
+import "time"
+
+// claimTimeout is how long no planner may have claimed the orders before an agent gives them that
+// has not been told so. A planner repeats its claim four times within it.
+const claimTimeout = time.Second
+
+// maxUnreadRelease is how long a message that the planner gives no orders may have lain unread: the
+// agent may not have run since, and the planner may have taken the orders over.
+const maxUnreadRelease = 100 * time.Millisecond
+
+// Right is the right of the agent beside a target to give the target orders. The planner takes the
+// orders over from an agent that it does not hear from, and claims them by messages to the agent.
+// An agent that starts, or did not run for a while, gives none until the planner says that it does
+// not claim them or claimTimeout has passed.
+type Right struct {
+	notBefore time.Time // earliest time for orders
+	planFence uint64    // highest fence of the planners that have claimed the orders
+	fence     uint64    // highest fence of their orders
+}
+
+// NewRight returns the right of an agent that starts at now.
+func NewRight(now time.Time) *Right { return &Right{notBefore: now.Add(claimTimeout)} }
+
+// Suspend records that the agent did not run for a while, so that the orders may have been taken over.
+func (right *Right) Suspend(now time.Time) { right.notBefore = now.Add(claimTimeout) }
+
+// Claim records that the planner gives the orders, with a fence above all earlier ones.
+func (right *Right) Claim(planFence, fence uint64, now time.Time) {
+	right.planFence, right.fence = max(right.planFence, planFence), max(right.fence, fence)
+	right.notBefore = now.Add(claimTimeout)
+}
+
+// Release records that the planner does not give the orders, by a message that lay unread for a
+// while, unless a later planner has claimed them.
+func (right *Right) Release(planFence uint64, unread time.Duration, now time.Time) {
+	if planFence >= right.planFence && unread <= maxUnreadRelease && now.Before(right.notBefore) {
+		right.notBefore = now
+	}
+}
+
+// Held reports whether the agent may give orders.
+func (right *Right) Held(now time.Time) bool { return !now.Before(right.notBefore) }
+
+// Fence returns the fence for the agent's orders, given that of its start: it is higher than those
+// of all planners that have claimed the orders.
+func (right *Right) Fence(own uint64) uint64 {
+	if own == 0 || right.fence < own {
+		return own
+	}
+	return right.fence + 1
+}
+
+// AgentFence returns the fence for the orders of an agent that starts at a revision of the store.
+// It is higher than the planner's fences of that revision and the earlier ones.
+func AgentFence(revision uint64) uint64 { return 2*revision + 1 }
+
+// PlannerFence returns the fence for orders of a planner whose last write to the store made a
+// revision. It is higher than those of all agents that started before it.
+func PlannerFence(revision uint64) uint64 { return 2 * revision }
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -1,8 +1,8 @@
 // Package sidecar runs the agent of a target to which entries send requests
 // directly. It polls the target and sends its load and the models and adapters
-// that it holds to subscribed entries in datagrams. It is the only process that
-// gives the target load and unload orders; package orders decides which order
-// is due.
+// that it holds to subscribed entries in datagrams. It alone gives the target load
+// and unload orders; package orders decides which order is due. The planner runs a
+// remote agent for a target whose own agent is silent, see Remote.
 package sidecar
 
 import (
@@ -10,6 +10,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,7 @@
 	firstStartDelay      = time.Second            // at the first start of the system, until the operator has written the configuration
 	configCheckInterval  = 2 * time.Second        // between two checks whether entries have announced a newer configuration, and before an invalid one is read again
 	configWatchTimeout   = 3 * time.Second        // of a watch for the first configuration; bounds how long a dead connection goes unnoticed
+	maxPollPause         = 600 * time.Millisecond // between two polls of an agent that runs in time; the planner waits longer before it takes the orders over
 	unloadEstimate       = 500 * time.Millisecond // expected duration of an unload, which waits for the model's running requests
 	loadLineInterval     = time.Second            // between two log lines with the target's load
 	storeLoadWindow      = 8 * time.Second        // age up to which loads from the weight store are reported
@@ -61,46 +63,58 @@
 	Clock      clock.Clock
 	Logs       *logs.Root
 	Metrics    *metric.Set
+	Remote     *Remote // of an agent on another machine than the target, nil for others
 }
 
 // Sidecar is the agent of one target. Its state belongs to the control loop.
 type Sidecar struct {
-	options          Options
-	log              *logs.Logger
-	control          *loop.Loop
-	socket           *datagram.Socket
-	controller       *orders.Controller
-	subscribers      map[netip.AddrPort]*subscriber
-	targetID         string // ID of the target's current incarnation
-	targetStartedAt  int64  // start of that incarnation in Unix milliseconds
-	fence            uint64 // fencing number of orders; 0 until known, and no order is given before
-	configVersion    uint64 // of the configuration in use
-	announcedVersion uint64 // newest configuration version that entries have announced
-	messageNumber    uint64 // of the last state message
-	inventoryVersion uint64 // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
-	report           directory.Report
-	reachable        bool // the last request for a report succeeded
-	rest             retry.Rest
-	permits          *permit.Issuer // for requests to the target, if it is limited
-	reportPending    bool           // a request for a report is under way
-	restoreTried     bool           // restoreModels has been called; accessed only by followConfiguration
-	prompts          *prompt.Tracker
-	unsentTokens     int                       // of prompts since the last state message
-	lastSent         time.Time                 // when the state was last sent
-	listedAt         time.Time                 // when a message last listed the subscribers
-	nextLoadLine     time.Time                 // a report requested at or after this time is logged
-	nextState        time.Time                 // a report requested at or after this time is sent even if nothing has changed
-	listedTargets    []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
-	routableModels   []directory.ResidentModel // in the last state sent
+	options              Options
+	log                  *logs.Logger
+	control              *loop.Loop
+	socket               *datagram.Socket
+	controller           *orders.Controller
+	subscribers          map[netip.AddrPort]*subscriber
+	targetID             string // ID of the target's current incarnation
+	targetStartedAt      int64  // start of that incarnation in Unix milliseconds
+	fence                uint64 // fencing number of orders; 0 until known, and no order is given before
+	right                *orders.Right
+	heldOrders           bool                      // mayOrder, as of the last report
+	orderedAt            atomic.Pointer[time.Time] // of the last order, nil before the first
+	polledAt             time.Time                 // when pollTarget last ran
+	configVersion        uint64                    // of the configuration in use
+	announcedVersion     uint64                    // newest configuration version that entries have announced
+	messageNumber        uint64                    // of the last state message
+	inventoryVersion     uint64                    // version of the fields that only full state messages contain; raised at the changes that handleReport checks for, by an accepted plan and when the fence is set, but not when only other such fields change, for example HostModels
+	report               directory.Report
+	reachable            bool // the last request for a report succeeded
+	rest                 retry.Rest
+	permits              *permit.Issuer // for requests to the target, if it is limited
+	reportPending        bool           // a request for a report is under way
+	restoreTried         bool           // restoreModels has been called; accessed only by followConfiguration
+	prompts              *prompt.Tracker
+	unsentTokens         int                       // of prompts since the last state message
+	lastSent             time.Time                 // when the state was last sent
+	listedAt             time.Time                 // when a message last listed the subscribers
+	nextLoadLine         time.Time                 // a report requested at or after this time is logged
+	nextState            time.Time                 // a report requested at or after this time is sent even if nothing has changed
+	publishedVersion     uint64                    // inventoryVersion in the last state of a remote agent
+	publishedUnreachable bool                      // Unreachable in it
+	listedTargets        []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
+	routableModels       []directory.ResidentModel // in the last state sent
 }
 
 // New returns a Sidecar; Run starts it.
 func New(options Options) *Sidecar {
-	return &Sidecar{
+	sidecar := &Sidecar{
 		options: options, log: options.Logs.Component("agent", options.Name), control: loop.New(),
 		controller: orders.New(), prompts: prompt.New(), subscribers: map[netip.AddrPort]*subscriber{},
-		permits: permit.NewIssuer(),
+		permits: permit.NewIssuer(), right: orders.NewRight(options.Clock.Now()),
 	}
+	if options.Remote != nil {
+		sidecar.controller = orders.NewRemote()
+		sidecar.targetID, sidecar.targetStartedAt = options.Remote.Key.ID, options.Remote.Key.StartedAt
+	}
+	return sidecar
 }
 
 // Run polls the target and serves entries until ctx ends. It returns an error
@@ -117,8 +131,8 @@
 	group.Go(func() error { return sidecar.followConfiguration(ctx) })
 	group.Go(func() error { return sidecar.pollTarget(ctx) })
 	group.Go(func() error {
-		return socket.Receive(ctx, func(from netip.AddrPort, message wire.Message) {
-			sidecar.control.Post(func() { sidecar.handleMessage(ctx, from, message) })
+		return socket.ReceiveTimed(ctx, func(from netip.AddrPort, message wire.Message, unread time.Duration) {
+			sidecar.control.Post(func() { sidecar.handleMessage(ctx, from, message, unread) })
 		})
 	})
 	return group.Wait()
@@ -131,16 +145,24 @@
 	return nil
 }
 
-// handleMessage handles a message from an entry.
-func (sidecar *Sidecar) handleMessage(ctx context.Context, from netip.AddrPort, message wire.Message) {
+// handleMessage handles a message from an entry that lay unread for a while.
+func (sidecar *Sidecar) handleMessage(ctx context.Context, from netip.AddrPort, message wire.Message, unread time.Duration) {
 	now := sidecar.options.Clock.Now()
 	switch message := message.(type) {
 	case *wire.EntryState:
 		sidecar.subscribe(from, message.InventoryVersion, now)
 		sidecar.announcedVersion = max(sidecar.announcedVersion, message.Version)
+		switch {
+		case message.PlanFence != 0 && message.HoldsOrders:
+			sidecar.right.Claim(message.PlanFence, 0, now)
+		case message.PlanFence != 0:
+			sidecar.right.Release(message.PlanFence, unread, now)
+		}
 		for _, used := range message.UsedAdapters {
 			sidecar.controller.RecordUse(used.Model, used.Adapter, now)
 		}
+	case *wire.OrderClaim:
+		sidecar.handleClaim(from, message, now)
 	case *wire.Command:
 		sidecar.handleCommand(from, message, now)
 	case *wire.SentPrompt:
@@ -191,9 +213,9 @@
 // that names another incarnation of the target or comes before the fence is known.
 func (sidecar *Sidecar) handleCommand(from netip.AddrPort, command *wire.Command, now time.Time) {
 	sender := from.String()
-	if command.Target != sidecar.targetID || sidecar.fence == 0 {
+	if mayOrder := sidecar.mayOrder(); command.Target != sidecar.targetID || !mayOrder {
 		reason := "the command is meant for another start of the target"
-		if sidecar.fence == 0 {
+		if !mayOrder {
 			reason = "the agent may not give orders yet"
 		}
 		sidecar.send(from, &wire.CommandResult{ID: command.ID, Reason: reason})
@@ -220,6 +242,10 @@
 
 // sendEach sends a message to each address.
 func (sidecar *Sidecar) sendEach(addresses []netip.AddrPort, message wire.Message) {
+	if remote := sidecar.options.Remote; remote != nil {
+		remote.Send(addresses, message)
+		return
+	}
 	if err := sidecar.socket.SendEach(addresses, message); err != nil {
 		sidecar.options.Metrics.Add("datagrams.unsent", 1)
 		sidecar.log.Debugf("datagram not sent: %v", err)
@@ -236,7 +262,7 @@
 		}
 		sidecar.send(to, &wire.CommandResult{ID: result.ID, Done: result.Done, Reason: result.Reason})
 	}
-	if sidecar.fence == 0 || sidecar.targetID == "" || sidecar.resting() {
+	if !sidecar.mayOrder() || sidecar.targetID == "" || sidecar.resting() {
 		return
 	}
 	order, ok := sidecar.controller.NextOrder(sidecar.options.Clock.Now())
@@ -247,7 +273,9 @@
 	if !ok {
 		return
 	}
-	order.Target, order.Holder, order.Fence = sidecar.targetID, sidecar.options.Name, sidecar.fence
+	order.Target, order.Holder, order.Fence = sidecar.targetID, sidecar.options.Name, sidecar.right.Fence(sidecar.fence)
+	orderedAt := sidecar.options.Clock.Now()
+	sidecar.orderedAt.Store(&orderedAt)
 	go func() {
 		outcome, err := sidecar.options.Engine.Order(ctx, order)
 		sidecar.control.Post(func() { sidecar.handleOutcome(ctx, order, outcome, err) })
@@ -264,9 +292,30 @@
 	sidecar.log.Infof("order load %v model %q adapter %q at target %s, sequence %d fence %d: %s",
 		order.Load, order.Model, order.Adapter, order.Target, order.Sequence, order.Fence, outcome)
 	sidecar.controller.RecordOutcome(order, outcome, sidecar.options.Clock.Now())
+	if sidecar.options.Remote != nil && order.Adapter != "" && (outcome == directory.OrderAccepted || outcome == directory.OrderAlreadyDone) {
+		go sidecar.assumeDone(ctx, order)
+	}
 	sidecar.requestReport(ctx)
 }
 
+// mayOrder reports whether the target may be given orders.
+func (sidecar *Sidecar) mayOrder() bool {
+	return sidecar.fence != 0 && (sidecar.options.Remote != nil || sidecar.right.Held(sidecar.options.Clock.Now()))
+}
+
+// handleClaim handles the planner's claim of the orders, and answers with the target's state, by
+// which the planner learns that the agent runs.
+func (sidecar *Sidecar) handleClaim(from netip.AddrPort, claim *wire.OrderClaim, now time.Time) {
+	sidecar.options.Metrics.Add("orders.claimed", 1)
+	if claim.Fence != 0 {
+		sidecar.log.Infof("planner with fence %d gives orders with fence %d to the target", claim.PlanFence, claim.Fence)
+		sidecar.right.Claim(claim.PlanFence, claim.Fence, now)
+		sidecar.controller.Abandon("the planner gives the orders")
+	}
+	sidecar.subscribe(from, 0, now)
+	sidecar.sendState()
+}
+
 // resting reports whether the target has asked for no calls now.
 func (sidecar *Sidecar) resting() bool {
 	return sidecar.rest.Left(sidecar.options.Clock.Now()) > 0
@@ -284,7 +333,7 @@
 
 // followConfiguration reads the configuration at the start, and again when
 // entries announce a newer version. The store's revision at the first valid
-// configuration becomes the fence of this agent's orders. This relies on revisions
+// configuration determines the fence of this agent's orders. This relies on revisions
 // that only rise, so that a later process of the agent has no lower fence.
 func (sidecar *Sidecar) followConfiguration(ctx context.Context) error {
 	cursor := directory.Cursor(0)
@@ -329,7 +378,7 @@
 // applyConfiguration puts a parsed configuration into use.
 func (sidecar *Sidecar) applyConfiguration(parsed *directory.Directory, revision directory.Cursor) {
 	if sidecar.fence == 0 {
-		sidecar.fence = uint64(revision)
+		sidecar.fence = orders.AgentFence(uint64(revision))
 		sidecar.inventoryVersion++
 		sidecar.log.Infof("orders carry fence %d", sidecar.fence)
 	}
@@ -353,9 +402,8 @@
 	for ctx.Err() == nil {
 		interval := reportInterval
 		sidecar.control.Do(func() {
-			if sidecar.controller.NeedsReport() {
-				interval = urgentReportInterval
-			}
+			sidecar.recordPause()
+			interval = sidecar.reportPause()
 			sidecar.requestReport(ctx)
 		})
 		sidecar.sleep(ctx, interval)
@@ -363,6 +411,30 @@
 	return nil
 }
 
+// reportPause returns the time until the next request for a report.
+func (sidecar *Sidecar) reportPause() time.Duration {
+	pause, urgent := reportInterval, urgentReportInterval
+	if sidecar.options.Remote != nil {
+		pause, urgent = remoteReportInterval, remoteUrgentInterval
+	}
+	if sidecar.controller.NeedsReport() {
+		return urgent
+	}
+	return pause
+}
+
+// recordPause records when this process has not run for so long that the planner may have taken
+// the orders over. A suspended machine shows only by the time of day.
+func (sidecar *Sidecar) recordPause() {
+	now, last := sidecar.options.Clock.Now(), sidecar.polledAt
+	sidecar.polledAt = now
+	if last.IsZero() || max(now.Sub(last), now.Round(0).Sub(last.Round(0))) < maxPollPause {
+		return
+	}
+	sidecar.log.Infof("the agent did not run for %v, or the time of day was set; it gives no orders until it knows that the planner gives none", now.Sub(last))
+	sidecar.right.Suspend(now)
+}
+
 // requestReport requests a report from the target unless a request is pending.
 // After a restart of the target it also requests its new ID.
 func (sidecar *Sidecar) requestReport(ctx context.Context) {
@@ -423,7 +495,9 @@
 	changed := !sidecar.reachable || report.Busy != sidecar.report.Busy || report.Draining != sidecar.report.Draining ||
 		report.Sequence != sidecar.report.Sequence || !reflect.DeepEqual(report.Models, sidecar.report.Models) ||
 		!slices.Equal(report.LoadingAdapters, sidecar.report.LoadingAdapters)
-	sidecar.report, sidecar.reachable = report, true
+	mayOrder := sidecar.mayOrder()
+	changed = changed || mayOrder != sidecar.heldOrders
+	sidecar.report, sidecar.reachable, sidecar.heldOrders = report, true, mayOrder
 	sidecar.controller.SetReport(report)
 	sidecar.prompts.SetReport(report, sidecar.options.Clock.Now())
 	if changed {
--- a/kernel/sidecar/sidecar_test.go
+++ b/kernel/sidecar/sidecar_test.go
@@ -229,6 +229,12 @@
 	}), fake
 }
 
+// allowOrders lets a sidecar give orders, as the planner's message does after a start.
+func allowOrders(sidecar *Sidecar) {
+	sidecar.fence = 1
+	sidecar.right.Release(1, 0, sidecar.options.Clock.Now())
+}
+
 // The rate of the messages must not depend on how long the target takes to report.
 func TestUnchangedStateIsSentEveryStateInterval(t *testing.T) {
 	for _, latency := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
@@ -275,7 +281,7 @@
 // before it starts, they must learn that the models stay.
 func TestEntriesAreToldWhenPlanExpires(t *testing.T) {
 	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
-	sidecar.fence = 1
+	allowOrders(sidecar)
 	report := directory.Report{At: fake.Now(), StartedAt: 7, Busy: true, Models: []directory.ResidentModel{{Model: "m"}}}
 	sidecar.handleReport(report, "i-1", nil)
 	from := netip.MustParseAddrPort("10.0.0.9:1")
@@ -296,7 +302,8 @@
 	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
 	socket, err := datagram.Listen(context.Background(), "127.0.0.1:0", func(string, int64) {})
 	assert.NilError(t, err)
-	sidecar.socket, sidecar.fence = socket, 1
+	sidecar.socket = socket
+	allowOrders(sidecar)
 	sidecar.controller.SetService(testService())
 	sidecar.handleReport(directory.Report{At: fake.Now(), StartedAt: 7}, "i-1", nil)
 	from := netip.MustParseAddrPort("127.0.0.1:9")
@@ -337,7 +344,7 @@
 
 func TestTargetAtRestGetsOrders(t *testing.T) {
 	sidecar, fake := newIdleSidecar(t, time.Unix(100, 0))
-	sidecar.fence = 1
+	allowOrders(sidecar)
 	sidecar.controller.SetService(testService())
 	sidecar.handleReport(directory.Report{At: fake.Now(), StartedAt: 7}, "i-1", nil)
 	plan := orders.Plan{ID: 1, From: "10.0.0.9:1", Fence: 1, Load: "m", StartBy: fake.Now().Add(time.Second)}
--- a/kernel/sidecar/state.go
+++ b/kernel/sidecar/state.go
@@ -16,6 +16,10 @@
 	if !sidecar.reachable || sidecar.targetID == "" {
 		return
 	}
+	if sidecar.options.Remote != nil {
+		sidecar.publish(false)
+		return
+	}
 	now := sidecar.options.Clock.Now()
 	sidecar.nextState = sidecar.report.At.Add(sidecar.interval() - stateTolerance)
 	sidecar.lastSent, sidecar.unsentTokens = now, 0
@@ -52,6 +56,10 @@
 	if sidecar.targetID == "" {
 		return
 	}
+	if sidecar.options.Remote != nil {
+		sidecar.publish(true)
+		return
+	}
 	sidecar.messageNumber++
 	state := sidecar.state(sidecar.options.Clock.Now()).WithoutInventory()
 	state.Unreachable = true
@@ -73,16 +81,14 @@
 		Target: sidecar.targetID, StartedAt: sidecar.targetStartedAt, Number: sidecar.messageNumber, Running: report.Running, Waiting: report.Queued,
 		Starting: report.Starting, Busy: report.Busy, Draining: report.Draining, RemovedIn: report.RemovedIn,
 		Sequence: report.Sequence, UsedKV: report.UsedKV, TotalKV: report.TotalKV, Pending: report.LoadingAdapters,
-		Host: report.HostModels, Disk: report.DiskModels, CanSendOrders: sidecar.fence != 0, PlanFence: sidecar.controller.Fence(),
+		Host: report.HostModels, Disk: report.DiskModels, CanSendOrders: sidecar.mayOrder(), PlanFence: sidecar.controller.Fence(),
 		Full: true, InventoryVersion: sidecar.inventoryVersion, Interval: sidecar.interval(),
 	}
 	for _, tokens := range sidecar.prompts.Unread() {
 		state.Unread = append(state.Unread, uint64(tokens))
 	}
 	state.Cached, state.Evicted = sidecar.prompts.Changes(now)
-	for _, residentModel := range sidecar.controller.RoutableModels() {
-		state.Models = append(state.Models, wire.ResidentState{Model: residentModel.Model, Adapters: residentModel.Adapters})
-	}
+	state.Models = residentStates(sidecar.controller.RoutableModels())
 	for _, load := range sidecar.controller.StoreLoads(storeLoadWindow, now) {
 		state.RecentLoads = append(state.RecentLoads, wire.NamedValue{Name: load.Model, Value: now.Sub(load.At).Seconds()})
 	}
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -47,6 +47,7 @@
 	Limits           []TargetLimit  // that targets have named to the sender
 	Broken           []BrokenTarget // to which a connection of the sender has just broken
 	Admitted         []uint64       // sent by the planner: origins of the software versions at which streams may begin
+	HoldsOrders      bool           // sent by the planner to an agent: the planner gives the orders to the agent's target
 }
 
 // AdapterUse names an adapter that requests used, and its base model.
@@ -95,6 +96,8 @@
 	datagramOriginRequest
 	datagramBroken
 	datagramPlannerNotice
+	datagramOrderClaim
+	datagramAdaptersUsed
 )
 
 // datagramKinds names the message kinds, for metrics.
@@ -102,6 +105,7 @@
 	datagramEntry: "entry", datagramTarget: "target", datagramCommand: "command", datagramResult: "result", datagramPrompt: "prompt",
 	datagramRetry: "retry", datagramPermit: "permit", datagramOrigins: "origins", datagramOriginRequest: "origin-request",
 	datagramBroken: "broken", datagramPlannerNotice: "planner-notice",
+	datagramOrderClaim: "order-claim", datagramAdaptersUsed: "adapters-used",
 }
 
 // DatagramKind returns the name of the message kind of an encoded datagram, for metrics.
@@ -139,6 +143,10 @@
 		kind = datagramBroken
 	case *PlannerNotice:
 		kind = datagramPlannerNotice
+	case *OrderClaim:
+		kind = datagramOrderClaim
+	case *AdaptersUsed:
+		kind = datagramAdaptersUsed
 	default:
 		return nil, errors.Newf("message of type %T cannot be sent as a datagram", message)
 	}
@@ -180,8 +188,12 @@
 		message = &BrokenTarget{}
 	case datagramPlannerNotice:
 		message = &PlannerNotice{}
+	case datagramOrderClaim:
+		message = &OrderClaim{}
+	case datagramAdaptersUsed:
+		message = &AdaptersUsed{}
 	default:
-		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramPlannerNotice)
+		return nil, errors.Newf("datagram is of unknown message kind %d, want 1 to %d", data[0], datagramAdaptersUsed)
 	}
 	return message, parse(data[1:], message)
 }
@@ -248,6 +260,7 @@
 	for _, origin := range entryState.Admitted {
 		writer.varint(22, origin)
 	}
+	writer.bool(23, entryState.HoldsOrders)
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -308,6 +321,8 @@
 		}
 	case 22:
 		entryState.Admitted = append(entryState.Admitted, value.varint)
+	case 23:
+		entryState.HoldsOrders = value.bool()
 	}
 }
 
--- a/kernel/wire/targetstate.go
+++ b/kernel/wire/targetstate.go
@@ -7,7 +7,7 @@
 )
 
 // TargetState is the state of a target that its agent sends to the subscribed
-// entries.
+// entries, or the planner to all entries if the agent is silent.
 type TargetState struct {
 	Target           string
 	StartedAt        int64         // start of the target, in Unix milliseconds
@@ -38,6 +38,7 @@
 	Evicted          []uint32      // keys of shared prompt parts that left it lately
 	Interval         time.Duration // longest time until the next message
 	Unreachable      bool          // the target does not answer its agent; the other fields are those of its last answer
+	Remote           bool          // the sender is the planner, on another machine than the target; the message is a full one
 }
 
 // CopyInventory copies the fields that change rarely, chiefly the models resident on
@@ -96,6 +97,7 @@
 	writer.keys(27, targetState.Evicted)
 	writer.duration(28, targetState.Interval)
 	writer.bool(29, targetState.Unreachable)
+	writer.bool(30, targetState.Remote)
 }
 
 func (targetState *TargetState) setField(number protowire.Number, value fieldValue) {
@@ -125,7 +127,7 @@
 	}
 }
 
-// setLaterField decodes fields 11 to 27: memory, resident models, loads, subscribers and
+// setLaterField decodes fields 11 to 30: memory, resident models, loads, subscribers and
 // prompts.
 func (targetState *TargetState) setLaterField(number protowire.Number, value fieldValue) {
 	switch number {
@@ -170,5 +172,7 @@
 		targetState.Interval = value.duration()
 	case 29:
 		targetState.Unreachable = value.bool()
+	case 30:
+		targetState.Remote = value.bool()
 	}
 }
