Keep models by demand where the targets cannot hold all of them

Cause: 194 models, memory for 96. Before the first request the planner unloaded 14 replicas of the busiest model for models that nobody asks for, since each model has a floor of demand; and afterwards no model could be unloaded whose last replica it was, so that models that were asked for stayed out.

Change: where not all models fit (first fit by size), a model without demand costs nothing while it is held nowhere, and the last replica of one that nobody has asked for, for some 5 s, may go for one that is asked for and held nowhere. Where all fit, nothing changes: each model keeps a replica.

--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -20,6 +20,7 @@
 	meanWork        float64        // per target, tokens per second
 	highestWork     float64        // of a target
 	storeLoadBudget int            // loads from the weight store that may start
+	crowded         bool           // the targets have no memory for all models at once
 	best            []move         // best move that loads each model, as last evaluated; gain 0 or less for none
 	unevaluated     bool           // best is not set yet
 }
@@ -27,7 +28,8 @@
 // modelState is the planned state of a model.
 type modelState struct {
 	model     *directory.Model
-	rate      float64        // demand, tokens per second
+	observed  float64        // demand, tokens per second
+	rate      float64        // observed plus the floor
 	holders   []*targetState // targets that hold it once pending commands and loads are done
 	confirmed int            // usable targets that hold it now and are not to unload it
 	sumWork   float64        // of the holders
@@ -44,6 +46,7 @@
 	held      []int        // models that it holds once pending commands and loads are done
 	confirmed []int        // models that it holds now and is not to unload
 	idle      []int        // confirmed models that may be unloaded, those with the least work first
+	last      []int        // confirmed models without demand that no other target holds, if crowded
 	copies    map[int]bool // models of which it has a copy on disk (false) or in host memory (true)
 	free      float64      // megabytes
 	work      float64      // tokens per second
@@ -56,9 +59,10 @@
 	draft := &draft{service: service, numbers: map[string]int{}, unevaluated: true}
 	total, recentLoads, runningLoads := 0.0, 0, 0
 	for number, model := range service.Engine().Models {
-		rate := planner.rate(model.Name(), now)
+		observed := planner.observed(model.Name(), now)
+		rate := observed + floorTokensPerS
 		total += rate
-		draft.models = append(draft.models, modelState{model: model, rate: rate})
+		draft.models = append(draft.models, modelState{model: model, observed: observed, rate: rate})
 		draft.numbers[model.Name()] = number
 	}
 	overLimit := planner.overLimit(targets, service.Name(), total)
@@ -89,10 +93,34 @@
 	if count := len(draft.states); count > 0 {
 		draft.meanWork = total / float64(count)
 	}
+	draft.crowded = draft.isCrowded()
 	draft.updateWork()
 	return draft
 }
 
+// isCrowded reports whether the targets cannot hold all models at once, by filling one target after
+// the other with the largest models that fit.
+func (draft *draft) isCrowded() bool {
+	capacity := draft.service.Engine().MemoryMegabytes - draft.adapterReserve()
+	weights := make([]float64, 0, len(draft.models))
+	for _, modelState := range draft.models {
+		weights = append(weights, modelState.model.WeightsMegabytes())
+	}
+	slices.SortFunc(weights, func(left, right float64) int { return cmp.Compare(right, left) })
+	var free []float64 // of the targets in use
+	for _, weight := range weights {
+		fits := slices.IndexFunc(free, func(left float64) bool { return left >= weight })
+		if fits < 0 {
+			if len(free) == len(draft.states) || weight > capacity {
+				return true
+			}
+			free, fits = append(free, capacity), len(free)
+		}
+		free[fits] -= weight
+	}
+	return false
+}
+
 func (draft *draft) addTarget(target *Target, pending pendingCommand, hasPending bool) {
 	state := &targetState{
 		target: target, free: draft.service.Engine().MemoryMegabytes - draft.adapterReserve(),
@@ -154,7 +182,7 @@
 			state.work += draft.workPerReplica(number)
 		}
 		draft.highestWork = max(draft.highestWork, state.work)
-		state.idle = draft.idleModels(state)
+		state.idle, state.last = draft.idleModels(state), draft.lastReplicas(state)
 	}
 	for number := range draft.models {
 		modelState := &draft.models[number]
@@ -188,6 +216,31 @@
 	return idle
 }
 
+// lastReplicas returns the models without demand of which a target holds the only confirmed replica,
+// if not all models fit.
+func (draft *draft) lastReplicas(state *targetState) []int {
+	last := state.last[:0]
+	for _, number := range state.confirmed {
+		if draft.crowded && draft.models[number].confirmed == 1 && draft.models[number].observed <= idleTokensPerS {
+			last = append(last, number)
+		}
+	}
+	slices.SortFunc(last, func(left, right int) int {
+		return cmp.Or(cmp.Compare(draft.models[left].observed, draft.models[right].observed),
+			cmp.Compare(draft.models[left].model.Name(), draft.models[right].model.Name()))
+	})
+	return last
+}
+
+// victims returns the models that a target may unload for a model, in the order in which they go.
+func (draft *draft) victims(state *targetState, load int) []int {
+	modelState := &draft.models[load]
+	if len(modelState.holders) > 0 || modelState.observed <= askedTokensPerS {
+		return state.idle
+	}
+	return append(slices.Clone(state.idle), state.last...)
+}
+
 // move loads a model on a target after unloading victims from it.
 type move struct {
 	state     *targetState
@@ -273,9 +326,13 @@
 	return -(2*change*modelState.sumWork + float64(holders)*change*change)
 }
 
-// penalty returns the cost of holding a model nowhere.
+// penalty returns the cost of holding a model nowhere. If not all models fit, one without demand
+// costs nothing.
 func (draft *draft) penalty(number int) float64 {
 	rate := draft.models[number].rate
+	if draft.crowded {
+		rate = draft.models[number].observed
+	}
 	return unservedPenalty * rate * max(rate, draft.meanWork)
 }
 
@@ -290,14 +347,17 @@
 		return move{}, false
 	}
 	free, victims := state.free, 0
-	for free < model.WeightsMegabytes() {
-		if victims == len(state.idle) || victims == maxVictims {
-			return move{}, false
+	if free < model.WeightsMegabytes() {
+		unloadable := draft.victims(state, number)
+		for free < model.WeightsMegabytes() {
+			if victims == len(unloadable) || victims == maxVictims {
+				return move{}, false
+			}
+			free += draft.models[unloadable[victims]].model.WeightsMegabytes()
+			victims++
 		}
-		free += draft.models[state.idle[victims]].model.WeightsMegabytes()
-		victims++
+		candidate.victims = unloadable[:victims]
 	}
-	candidate.victims = state.idle[:victims]
 	loadTime := model.StoreLoadTime()
 	if copied {
 		loadTime = model.DiskLoadTime()
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -4,7 +4,9 @@
 // assumes that a model's work (its demand in tokens per second) spreads evenly over
 // the targets that hold it. The cost of a placement is the sum of the squares of the
 // targets' work, with a penalty for models that no target holds; a command is issued
-// when it lowers the cost by more than its load costs. Loads from the weight store
+// when it lowers the cost by more than its load costs. While the targets have memory for
+// all models, each model keeps a replica, whether requests ask for it or not. Otherwise
+// the models that are asked for take the places of those that are not. Loads from the weight store
 // stay within the store's rate limit. The package does no I/O and is not safe for
 // concurrent use: package gateway sends the commands to the targets' agents, where
 // package orders turns them into orders. Package placement decides the same in
@@ -27,6 +29,8 @@
 	storeLoadFraction  = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
 	maxVictimWork      = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
 	maxVictims         = 2                       // models that one command unloads
+	idleTokensPerS     = 50.0                    // a model with less demand, some 5 s after its last request, may be unloaded everywhere if not all models fit
+	askedTokensPerS    = floorTokensPerS         // a model with more demand may take the place of one unloaded everywhere
 	maxSwaps           = 4                       // commands with an unload in one Plan call; the next call sees their effect
 )
 
@@ -97,14 +101,14 @@
 	demandEstimate.updatedAt = now
 }
 
-// rate returns the demand for a model in tokens per second, including the floor.
-func (planner *Planner) rate(model string, now time.Time) float64 {
+// observed returns the demand for a model in tokens per second, without the floor.
+func (planner *Planner) observed(model string, now time.Time) float64 {
 	estimate := planner.demand[model]
 	if estimate == nil {
-		return floorTokensPerS
+		return 0
 	}
 	estimate.decay(now)
-	return estimate.rate + floorTokensPerS
+	return estimate.rate
 }
 
 // CommandFailed discards the pending command of a target whose agent refused it or
