Rank targets whose agents are silent behind all others

Cause: a target counted as silent only for an entry with an attempt there that was 0.4 s old. To all others its load, known by a report older than 1.5 s, counted as none, so that it looked like the best one; each entry learned by a request of its own, once every few seconds. Class of fault: an entry knows a target by its agent alone, and what one entry learns stays with it.

Change: a target from which neither agent nor answer has come for 0.4 s, or two intervals of the agent's messages, costs 3 s more, for at most 5 s. It is not excluded: its agent may have ended instead, and it may be the only one. The planner asks the target itself meanwhile and tells all entries. A target that answers neither its agent nor the planner for 1.5 s is left by requests that can go elsewhere, as one whose agent is silent; the silence of the planner's agent says nothing.

TestTargetThatAnswersNobody... fails without the change.

--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -17,6 +17,7 @@
 	pauseWeight          = 0.1                    // the same for the part of a delay by which events come too late
 	maxPauseFraction     = 0.8                    // of the longest pause between events that is in time, for which a target may read prompts in a row
 	backoffPenalty       = 3 * time.Second        // ranks a target in backoff behind all with a similar wait
+	suspectPenalty       = 3 * time.Second        // ranks a target that may be frozen behind all others
 	limitPenalty         = 250 * time.Millisecond // leaves the permits of a limited target to requests that no other target serves as well
 	affinityDiscount     = 20 * time.Millisecond  // keeps an adapter's requests on one target
 	maxEvaluated         = 96                     // candidates evaluated per request; keeps a choice within 20 us
@@ -123,6 +124,9 @@
 	if replica.target.DataCentre() != dispatcher.dataCentre {
 		candidate.cost += remotePenalty
 	}
+	if replica.suspect(now, dispatcher.lateness) {
+		candidate.cost += suspectPenalty
+	}
 	if now.Before(replica.backoffUntil) {
 		candidate.cost += backoffPenalty
 	}
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -500,3 +500,17 @@
 		})
 	}
 }
+
+func TestTargetThatAnswersNobodyKeepsRequestsThatCanGoElsewhere(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		dispatcher, keys := newTestDispatcher("a")
+		resident := []directory.ResidentModel{{Model: "m"}}
+		dispatcher.SetReport(keys[0], directory.Report{At: start, Models: resident})
+		number := dispatcher.RecordSent(keys[0], newTestRequest(), start)
+		now := start.Add(stallTimeout)
+		dispatcher.SetReport(keys[0], directory.Report{At: now, Models: resident, Unreachable: true, Remote: remote})
+		assert.Assert(t, dispatcher.Stalled(keys[0], number, now), "remote %v", remote)
+		dispatcher.RecordActivity(keys[0], now)
+		assert.Assert(t, !dispatcher.Stalled(keys[0], number, now), "remote %v: the target has just sent something", remote)
+	}
+}
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -27,6 +27,7 @@
 	silenceThreshold      = 400 * time.Millisecond  // four report intervals of an agent
 	missedReports         = 2                       // intervals of reports that pass before a target counts as silent, if they are longer
 	stallTimeout          = 1500 * time.Millisecond // requests at a target silent for this long are abandoned; callers of streams leave after 2 s or more
+	maxUnconfirmed        = 5 * time.Second         // after which the silence of an agent alone says no more of its target; the planner asks the target much sooner
 	minStartTime          = 400 * time.Millisecond  // a silent target cannot begin a request within this; reading a prompt alone takes a quarter of it
 	minOrderRemaining     = 100 * time.Millisecond  // assumed for an order that is overdue
 )
@@ -88,19 +89,29 @@
 	return replica.reported && now.Sub(replica.report.At) < reportTTL
 }
 
-// silent reports whether the target seems frozen: its agent, which runs on the
-// same host, sends no reports, and the target sends nothing although it has
-// requests to answer. Time in which this process did not run does not count.
+// silent reports whether the target seems frozen: it does not answer its agent or the planner, or
+// its agent, which runs on the same host, sends no reports; and the target sends nothing although
+// it has requests to answer. Time in which this process did not run does not count.
 func (replica *replica) silent(now time.Time, lateness *clock.Lateness) bool {
-	if replica.reported && replica.report.Unreachable && silentSince(replica.lastActivity, silenceThreshold, now, lateness) {
+	if replica.unreachableFor(silenceThreshold, now, lateness) {
 		return true
 	}
-	return replica.silentFor(max(silenceThreshold, missedReports*replica.report.Interval), now, lateness)
+	return replica.silentFor(replica.minSilence(), now, lateness)
+}
+
+// minSilence returns how long the target's agent must send nothing to count as silent.
+func (replica *replica) minSilence() time.Duration {
+	return max(silenceThreshold, missedReports*replica.report.Interval)
+}
+
+// unreachableFor reports whether the target does not answer its agent or the planner, and has sent
+// nothing for at least minSilence.
+func (replica *replica) unreachableFor(minSilence time.Duration, now time.Time, lateness *clock.Lateness) bool {
+	return replica.reported && replica.report.Unreachable && silentSince(replica.lastActivity, minSilence, now, lateness)
 }
 
 func (replica *replica) silentFor(minSilence time.Duration, now time.Time, lateness *clock.Lateness) bool {
-	if len(replica.attempts) == 0 || !replica.reported ||
-		!silentSince(replica.report.At, minSilence, now, lateness) || !silentSince(replica.lastActivity, minSilence, now, lateness) {
+	if len(replica.attempts) == 0 || !replica.agentSilent(minSilence, now, lateness) {
 		return false
 	}
 	for _, attempt := range replica.attempts {
@@ -111,6 +122,19 @@
 	return false
 }
 
+// agentSilent reports whether neither the target nor its agent has sent anything for at least
+// minSilence. The silence of an agent on another machine says nothing.
+func (replica *replica) agentSilent(minSilence time.Duration, now time.Time, lateness *clock.Lateness) bool {
+	return replica.reported && !replica.report.Remote &&
+		silentSince(replica.report.At, minSilence, now, lateness) && silentSince(replica.lastActivity, minSilence, now, lateness)
+}
+
+// suspect reports whether only the silence of the target's agent shows that it may be frozen. Its
+// agent may have ended instead, until the planner has asked the target itself.
+func (replica *replica) suspect(now time.Time, lateness *clock.Lateness) bool {
+	return replica.agentSilent(replica.minSilence(), now, lateness) && now.Sub(replica.report.At) < maxUnconfirmed
+}
+
 // silentSince reports whether this process has run for at least minSilence since last.
 func silentSince(last time.Time, minSilence time.Duration, now time.Time, lateness *clock.Lateness) bool {
 	return now.Sub(last) >= minSilence && lateness.Elapsed(last, now) >= minSilence
