End streams at silent targets before their callers leave without an answer

Change: it stays until 0.4 s before the route's time for the next event is over. If the target has then been silent for 1.5 s (its agent and all its answers to this entry, or it answers neither agent nor planner) and no bytes lie unread, the attempt ends: 502, not known whether it ran, or the end of the connection if events have come. In these 0.4 s a silent target cannot begin a request; a caller loses nothing that it would have waited for longer.

--- a/entry/gateway/silence.go
+++ b/entry/gateway/silence.go
@@ -38,14 +38,18 @@
 // cancelStalled cancels the attempts that the dispatcher considers stalled: their target has
 // been silent for too long, or for a shorter time while it has not begun to respond and the
 // call's start-by time is about to pass. An attempt stays if its request could not go on
-// elsewhere, since a late answer is better than none.
+// elsewhere, since a late answer is better than none, until its caller is about to leave.
 func (gateway *Gateway) cancelStalled(ctx context.Context) {
-	suspects := gateway.stalledAttempts(func(*attempt) bool { return true })
-	if len(suspects) == 0 {
+	all := func(*attempt) bool { return true }
+	suspects, hopeless := gateway.stalledAttempts(gateway.mayLeave, all), gateway.stalledAttempts(gateway.isHopeless, all)
+	if len(suspects)+len(hopeless) == 0 {
 		return
 	}
 	gateway.sleep(ctx, stallConfirmDelay)
-	confirmed := gateway.stalledAttempts(func(attempt *attempt) bool { return slices.Contains(suspects, attempt) })
+	for _, attempt := range gateway.stalledAttempts(gateway.isHopeless, func(attempt *attempt) bool { return slices.Contains(hopeless, attempt) }) {
+		gateway.endHopeless(attempt)
+	}
+	confirmed := gateway.stalledAttempts(gateway.mayLeave, func(attempt *attempt) bool { return slices.Contains(suspects, attempt) })
 	var group sync.WaitGroup
 	for _, attempt := range confirmed {
 		group.Go(func() { gateway.leaveSilentTarget(attempt) })
@@ -53,32 +57,64 @@
 	group.Wait()
 }
 
-// stalledAttempts returns the matching attempts that are stalled and may leave their target.
-func (gateway *Gateway) stalledAttempts(matches func(attempt *attempt) bool) []*attempt {
+// stalledAttempts returns the matching attempts for which a check of silence holds.
+func (gateway *Gateway) stalledAttempts(check, matches func(attempt *attempt) bool) []*attempt {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	var stalled []*attempt
 	for _, attempt := range gateway.attempts {
-		if matches(attempt) && gateway.mayLeave(attempt) {
+		if matches(attempt) && check(attempt) {
 			stalled = append(stalled, attempt)
 		}
 	}
 	return stalled
 }
 
-// mayLeave reports whether an attempt is stalled and could go on elsewhere. A target is not silent
-// if bytes have arrived since the last look and have not been read. An attempt does not leave while
-// bytes for itself lie unread, also because its caller takes none. The caller must hold gateway.mu.
+// mayLeave reports whether an attempt is stalled and could go on elsewhere. The caller must hold
+// gateway.mu.
 func (gateway *Gateway) mayLeave(attempt *attempt) bool {
-	now, key := gateway.clock.Now(), attempt.target.Key()
-	if !attempt.leaving.allowed || now.Before(attempt.leaving.notTill) || !gateway.dispatcher.Stalled(key, attempt.number, now) {
-		return false
+	now := gateway.clock.Now()
+	return attempt.leaving.allowed && !now.Before(attempt.leaving.notTill) &&
+		gateway.dispatcher.Stalled(attempt.target.Key(), attempt.number, now) && !gateway.hasUnread(attempt)
+}
+
+// isHopeless reports whether an attempt at a silent target cannot go on elsewhere and gets no event
+// before its caller leaves. The caller must hold gateway.mu.
+func (gateway *Gateway) isHopeless(attempt *attempt) bool {
+	now := gateway.clock.Now()
+	return !attempt.leaving.allowed && attempt.call.route.Kind() == directory.Stream &&
+		gateway.dispatcher.Hopeless(attempt.target.Key(), attempt.number, attempt.callerLeavesAt(), now) && !gateway.hasUnread(attempt)
+}
+
+// callerLeavesAt returns when the caller leaves unless an event comes.
+func (attempt *attempt) callerLeavesAt() time.Time {
+	if last := attempt.leaving.lastData; !last.IsZero() {
+		return attempt.call.startByAfter(last)
+	}
+	return attempt.request.StartBy
+}
+
+// endHopeless ends an attempt at a silent target, so that its caller learns before it leaves that it
+// is not known whether the request ran.
+func (gateway *Gateway) endHopeless(attempt *attempt) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if gateway.attempts[attempt.number] == attempt {
+		gateway.metrics.Add("attempts.hopeless", 1)
+		gateway.cancelAttempt(attempt, "its target is silent and its caller about to leave")
 	}
+}
+
+// hasUnread reports whether bytes of an attempt's target have arrived since the last look and have
+// not been read, so that the target is not silent, or bytes for the attempt itself lie unread, also
+// because its caller takes none. The caller must hold gateway.mu.
+func (gateway *Gateway) hasUnread(attempt *attempt) bool {
+	now, key := gateway.clock.Now(), attempt.target.Key()
 	if gateway.hasAdvanced(key) {
 		gateway.dispatcher.RecordActivity(key, now)
-		return false
+		return true
 	}
-	return !attempt.arrivals.Unread()
+	return attempt.arrivals.Unread()
 }
 
 // hasAdvanced reports whether unread bytes of a target have arrived since the last call. What was
