Refuse requests at once for adapters that nobody can load

A target without any report may have just joined and is tried as before.

Evidence: TestRequestWaitsForAdapterAtTargetWithoutOrders fails without the change in 3 of 3 cases.

--- a/kernel/dispatch/choice.go
+++ b/kernel/dispatch/choice.go
@@ -35,7 +35,7 @@
 // offset that moves with each request sent, which bounds the time of a choice.
 func (dispatcher *Dispatcher) Choose(request *Request, tried []directory.TargetKey, now time.Time) Decision {
 	best := candidate{}
-	holders, fitting, suitable := 0, 0, 0
+	holders, fitting, suitable, noOrders := 0, 0, 0, 0
 	shortest := Refuse{} // for the target at rest or without a permit that is back first
 	candidates := dispatcher.candidates(request.Service, request.Model)
 	preferred := dispatcher.preferredTarget(candidates, request)
@@ -57,6 +57,10 @@
 			continue
 		}
 		holders++
+		if !replica.holdsAdapter(request.Model, request.Adapter) && !replica.takesOrders(now) {
+			noOrders++
+			continue
+		}
 		if total := replica.report.TotalKV; total > 0 && request.kvTokens() > total {
 			continue
 		}
@@ -70,6 +74,8 @@
 	switch {
 	case fitting > 0:
 		return best.admit(request, now)
+	case noOrders > 0:
+		return Refuse{Reason: NotResident, RetryAfter: defaultRetryAfter}
 	case holders > 0:
 		return Refuse{Reason: TooLarge, RetryAfter: defaultRetryAfter}
 	case shortest.RetryAfter > 0:
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -501,6 +501,28 @@
 	}
 }
 
+func TestRequestWaitsForAdapterAtTargetWithoutOrders(t *testing.T) {
+	resident := []directory.ResidentModel{{Model: "m"}}
+	for name, test := range map[string]struct {
+		report directory.Report
+		age    time.Duration
+	}{
+		"nobody gives orders":        {directory.Report{Models: resident, NoOrders: true}, 0},
+		"the agent is long silent":   {directory.Report{Models: resident}, 10 * time.Second},
+		"the planner's agent is too": {directory.Report{Models: resident, Remote: true}, 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dispatcher, keys := newTestDispatcher("a")
+			test.report.At = start.Add(-test.age)
+			dispatcher.SetReport(keys[0], test.report)
+			request := newTestRequest()
+			request.Adapter = "x"
+			refuse, ok := dispatcher.Choose(request, nil, start).(Refuse)
+			assert.Assert(t, ok && refuse.RetryAfter > 0)
+		})
+	}
+}
+
 func TestTargetThatAnswersNobodyKeepsRequestsThatCanGoElsewhere(t *testing.T) {
 	for _, remote := range []bool{false, true} {
 		dispatcher, keys := newTestDispatcher("a")
--- a/kernel/dispatch/replica.go
+++ b/kernel/dispatch/replica.go
@@ -27,6 +27,7 @@
 	silenceThreshold      = 400 * time.Millisecond  // four report intervals of an agent
 	missedReports         = 2                       // intervals of reports that pass before a target counts as silent, if they are longer
 	stallTimeout          = 1500 * time.Millisecond // requests at a target silent for this long are abandoned; callers of streams leave after 2 s or more
+	maxOrderSilence       = 2 * reportTTL           // an agent silent for longer carries out no orders
 	maxUnconfirmed        = 5 * time.Second         // after which the silence of an agent alone says no more of its target; the planner asks the target much sooner
 	minStartTime          = 400 * time.Millisecond  // a silent target cannot begin a request within this; reading a prompt alone takes a quarter of it
 	minOrderRemaining     = 100 * time.Millisecond  // assumed for an order that is overdue
@@ -271,6 +272,12 @@
 	return time.Duration(cost)
 }
 
+// takesOrders reports whether an adapter can be loaded at the target, as far as is known: its agent,
+// or the planner in its place, gives orders. A target without a report may have just joined.
+func (replica *replica) takesOrders(now time.Time) bool {
+	return !replica.reported || !replica.report.NoOrders && now.Sub(replica.report.At) < maxOrderSilence
+}
+
 // adapterWait estimates the time until an adapter that is ordered now is loaded.
 func (replica *replica) adapterWait(now time.Time) time.Duration {
 	if !replica.report.Busy {
