Notice lists that an entry missed while it was out of step

Here an entry asks others for a stream's origin first; one whose origin no entry knows goes on if a single version has served, by the lists that this entry has seen.

Cause, by reading: a gap in these lists was looked for each 250 ms by the age of the list in force. An entry that stood still for seconds and had its list confirmed before the next look did not notice it; one that was suspended did not either, since the steady clock does not count that time. Versions that came and went meanwhile counted as never having served.

Change: Freshness keeps the longest time between two confirmations, by the steady clock and by the time of day, until the record of versions has been read again; a stream of unknown origin is refused before that, as not run.

Not seen on a site. stream.elapsed is now clock.Elapsed.

--- a/entry/gateway/lateness_test.go
+++ b/entry/gateway/lateness_test.go
@@ -206,3 +206,25 @@
 	gateway.peers.receive(netip.MustParseAddrPort("10.0.0.1:1"), state, 0)
 	assert.Equal(t, ends(), 0)
 }
+
+func TestStreamIsTakenUpAtSoleListedVersionByEntryThatMissedLists(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"in time": time.Second, "stood still": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			fake := clock.NewFake(time.Unix(1000, 0))
+			gateway := newIdleGateway(t, fake)
+			gateway.origins.versions.Observe(map[string][]string{"s": {"v1"}}, fake.Now())
+			gateway.origins.versions.Recall(nil, fake.Now())
+			gateway.origins.setRecalled(true)
+			gateway.syncer.listFreshness.RecordOwnRead(1, fake.Now())
+			fake.Advance(pause)
+			gateway.syncer.listFreshness.RecordOwnRead(1, fake.Now()) // the same again: another version came and went meanwhile
+			call := &call{gateway: gateway, head: RequestHead{LastEvent: "3"}, route: directory.NewRoute(directory.RouteSpec{
+				Kind: directory.Stream, Resumable: true, Shares: []directory.Share{{Service: "s", Weight: 1}},
+			})}
+			call.withContext()
+			defer call.cancel(nil)
+			_, software, fault := call.findOrigin()
+			assert.Equal(t, fault != nil, pause > maxSoleListAge, "taken up at version %q", software)
+		})
+	}
+}
--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -401,13 +401,28 @@
 func (syncer *syncer) listAge() time.Duration {
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
-	age, known := syncer.listFreshness.Age(syncer.gateway.clock.Now())
+	age, known := syncer.listFreshness.LongestAge(syncer.gateway.clock.Now())
 	if !known {
 		return time.Duration(math.MaxInt64)
 	}
 	return age
 }
 
+// listGap returns the longest time for which the list in force was not known to be the newest since
+// the history of versions was last read.
+func (syncer *syncer) listGap() time.Duration {
+	syncer.mu.Lock()
+	defer syncer.mu.Unlock()
+	return syncer.listFreshness.LongestGap()
+}
+
+// resetListGap records that the history of versions has been read.
+func (syncer *syncer) resetListGap() {
+	syncer.mu.Lock()
+	defer syncer.mu.Unlock()
+	syncer.listFreshness.ResetGap()
+}
+
 // needsSnapshot reports whether this entry is not ready and its last read from
 // the platform failed, so that only a peer can provide the documents.
 func (syncer *syncer) needsSnapshot() bool {
--- a/entry/gateway/takeup.go
+++ b/entry/gateway/takeup.go
@@ -76,7 +76,7 @@
 			return service, software, nil
 		}
 	}
-	if len(services) == 1 && gateway.syncer.listAge() <= maxSoleListAge {
+	if len(services) == 1 && max(gateway.syncer.listAge(), gateway.syncer.listGap()) <= maxSoleListAge {
 		if software, sole := gateway.origins.sole(services[0], streamRetention(call.route)); sole {
 			gateway.metrics.Add("streams.sole_version", 1)
 			return services[0], software, nil
--- a/entry/gateway/versionrecord.go
+++ b/entry/gateway/versionrecord.go
@@ -33,7 +33,7 @@
 	Announced map[string][]string `json:"announced,omitempty"`
 }
 
-// The history of versions has a gap while the list in force is older than maxSoleListAge: a
+// The history of versions has a gap if the list in force was older than maxSoleListAge: a
 // version may have come and gone meanwhile. Then the object is read again.
 
 func (versionRecord *versionRecord) run(ctx context.Context) error {
@@ -42,6 +42,10 @@
 		switch {
 		case versionRecord.gateway.syncer.listAge() > maxSoleListAge:
 			versionRecord.gateway.origins.setRecalled(false)
+		case versionRecord.gateway.syncer.listGap() > maxSoleListAge:
+			versionRecord.gateway.origins.setRecalled(false)
+			versionRecord.gateway.syncer.resetListGap() // the object is read next
+			continue
 		case !versionRecord.gateway.origins.isRecalled():
 			versionRecord.object = 0
 			if err = versionRecord.read(ctx); err == nil {
--- a/kernel/clock/clock.go
+++ b/kernel/clock/clock.go
@@ -25,6 +25,12 @@
 // After returns a channel that receives the time once d has passed.
 func (system System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Elapsed returns the time since then, with that for which the machine was suspended. The steady
+// clock does not count it, and the time of day may have been set back.
+func Elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
 // Fake is a clock for tests whose time changes only by calls of Advance.
 type Fake struct {
 	mu     sync.Mutex
--- a/kernel/directory/freshness.go
+++ b/kernel/directory/freshness.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"endiverill.example/kernel/clock"
+)
 
 // Freshness tracks how fresh an instance's copy of a document is and when to read
 // the document again. The leader reads it at a short interval and notifies the
@@ -15,6 +19,7 @@
 	confirmed      time.Time     // when the copy was last known to be the newest version
 	ownReadAt      time.Time     // when this instance last read the document itself
 	failedAt       time.Time     // last reading that failed
+	longestGap     time.Duration // between two confirmations since ResetGap, with the time of a suspension
 }
 
 // NewFreshness returns the state of a document that has not been read yet. The
@@ -33,6 +38,18 @@
 	return max(now.Sub(freshness.confirmed), 0), freshness.known
 }
 
+// LongestAge is Age with the time for which the machine was suspended.
+func (freshness *Freshness) LongestAge(now time.Time) (age time.Duration, known bool) {
+	return max(clock.Elapsed(freshness.confirmed, now), 0), freshness.known
+}
+
+// LongestGap returns the longest time between two confirmations since ResetGap, in which versions of
+// the document may have come and gone that this instance has not seen.
+func (freshness *Freshness) LongestGap() time.Duration { return freshness.longestGap }
+
+// ResetGap records that it is known what the document held in all gaps so far.
+func (freshness *Freshness) ResetGap() { freshness.longestGap = 0 }
+
 // OwnReadAge returns how long ago this instance last read the document itself, which is the
 // age that it reports to others. Age would let two instances confirm each other's copies
 // again and again, later each time by the delay of a message.
@@ -55,6 +72,9 @@
 	if freshness.known && version < freshness.version {
 		return // a late answer; a newer copy has been read since
 	}
+	if freshness.known {
+		freshness.longestGap = max(freshness.longestGap, clock.Elapsed(freshness.confirmed, at))
+	}
 	freshness.known, freshness.version = true, version
 	if at.After(freshness.confirmed) {
 		freshness.confirmed = at
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -428,7 +428,7 @@
 func (sidecar *Sidecar) recordPause() {
 	now, last := sidecar.options.Clock.Now(), sidecar.polledAt
 	sidecar.polledAt = now
-	if last.IsZero() || max(now.Sub(last), now.Round(0).Sub(last.Round(0))) < maxPollPause {
+	if last.IsZero() || clock.Elapsed(last, now) < maxPollPause {
 		return
 	}
 	sidecar.log.Infof("the agent did not run for %v, or the time of day was set; it gives no orders until it knows that the planner gives none", now.Sub(last))
--- a/kernel/stream/admission.go
+++ b/kernel/stream/admission.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"endiverill.example/kernel/clock"
 )
 
 const (
@@ -123,7 +125,7 @@
 			announcedAt, announced := admission.announced[NewOrigin(service, software)]
 			switch {
 			case admission.Admits(service, software), !serves && slices.Contains(listed[service], software),
-				announced && elapsed(announcedAt, now) >= FreshRecord:
+				announced && clock.Elapsed(announcedAt, now) >= FreshRecord:
 				planned.Admitted[service] = append(planned.Admitted[service], software)
 			case announced, now.Sub(admission.startedAt) >= StartDelay:
 				planned.Announced[service] = append(planned.Announced[service], software)
@@ -137,7 +139,7 @@
 // entry knows, if the record that this process found at its start shows it. Other versions may
 // be listed since.
 func (admission *Admission) BegunAt(service string, now time.Time) (software string, ok bool) {
-	if admission.readAt.IsZero() || elapsed(admission.readAt, now) >= FreshRecord {
+	if admission.readAt.IsZero() || clock.Elapsed(admission.readAt, now) >= FreshRecord {
 		return "", false
 	}
 	admitted := admission.firstRead.Admitted[service]
@@ -146,9 +148,3 @@
 	}
 	return admitted[0], true
 }
-
-// elapsed returns the time since then, with that for which the machine was suspended. The steady
-// clock does not count it, and the time of day may have been set back.
-func elapsed(since, now time.Time) time.Duration {
-	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
-}
