--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -87,8 +87,9 @@
 	stopping       atomic.Bool
 	draining       context.Context // done when draining starts: from then on, new streams and requests that would wait for a target are refused
 	startDraining  context.CancelFunc
-	ending         atomic.Bool // no further requests are admitted
-	limitExceeded  atomic.Bool // it has been logged that the known spending of a customer passed its limit
+	stopEnd        atomic.Pointer[time.Time] // when open requests are ended, nil unless stopping
+	ending         atomic.Bool               // no further requests are admitted
+	limitExceeded  atomic.Bool               // it has been logged that the known spending of a customer passed its limit
 	callerWatch    *callerWatch
 	heldForVersion atomic.Int32 // calls that wait for a target whose software version has to be confirmed
 	lateness       *clock.Lateness
@@ -298,15 +299,16 @@
 // Stop drains the gateway. It returns when all requests have ended, when the
 // grace period but for exitReserve is used up, or when ctx ends, then with its
 // error. Streams are admitted for readinessDelay, in which the platform detects
-// that the instance is not ready. Other requests are admitted until
-// maxPlainDuration before the end or until none is in progress, unless they would
-// have to wait for a target: the platform keeps sending them until it has selected
-// another instance.
+// that the instance is not ready. After it, other requests are admitted until
+// maxPlainDuration before the end or until none is in progress, if they end before
+// the grace period by their own deadline and need not wait for a target: the platform
+// keeps sending them until it has selected another instance.
 func (gateway *Gateway) Stop(ctx context.Context) error {
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
 	gateway.planner.release(ctx)
 	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
+	gateway.stopEnd.Store(&end)
 	drainEnd := end.Add(-maxPlainDuration)
 	gateway.sleep(ctx, readinessDelay)
 	gateway.startDraining()
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -153,9 +153,6 @@
 		}
 		return code.New(code.KeyUnknown, code.RanNo, "the key is not granted")
 	}
-	if call.gateway.ending.Load() || call.gateway.draining.Err() != nil && route.Kind() == directory.Stream {
-		return stoppingFault()
-	}
 	call.deadline = call.arrived.Add(defaultTimeout)
 	if route.Timeout() > 0 {
 		call.deadline = call.arrived.Add(route.Timeout())
@@ -163,6 +160,9 @@
 	if timeout := call.head.Timeout; timeout > 0 && (route.Timeout() == 0 || timeout < route.Timeout()) {
 		call.deadline = call.arrived.Add(timeout - responseMargin)
 	}
+	if call.gateway.ending.Load() || call.gateway.draining.Err() != nil && route.Kind() == directory.Stream || call.outlastsStop() {
+		return stoppingFault()
+	}
 	call.directory = current
 	call.setService(route.PickService(randomFraction()))
 	return nil
@@ -276,6 +276,9 @@
 	reported := false // that the model is missing
 	for {
 		changed := gateway.changed.wait()
+		if !call.placement.Continues && call.outlastsStop() {
+			return nil, stoppingFault()
+		}
 		if call.placement.Continues {
 			gateway.confirmList()
 		}
@@ -325,6 +328,13 @@
 	}
 }
 
+// outlastsStop reports whether a draining instance may end before the call does.
+func (call *call) outlastsStop() bool {
+	gateway := call.gateway
+	end := gateway.stopEnd.Load()
+	return end != nil && gateway.draining.Err() != nil && call.deadline.After(*end)
+}
+
 // stoppingFault returns the fault for a request that might not complete before
 // the instance stops.
 func stoppingFault() *code.Fault {
