--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -308,7 +308,9 @@
 func (sidecar *Sidecar) handleClaim(from netip.AddrPort, claim *wire.OrderClaim, now time.Time) {
 	sidecar.options.Metrics.Add("orders.claimed", 1)
 	if claim.Fence != 0 {
-		sidecar.log.Infof("planner with fence %d gives orders with fence %d to the target", claim.PlanFence, claim.Fence)
+		if sidecar.right.Held(now) {
+			sidecar.log.Infof("planner with fence %d gives orders with fence %d to the target", claim.PlanFence, claim.Fence)
+		}
 		sidecar.right.Claim(claim.PlanFence, claim.Fence, now)
 		sidecar.controller.Abandon("the planner gives the orders")
 	}
