Order nothing by a lease that ended while the machine was suspended

Found by reading, before a site showed it: the steady clock does not count the time for which a machine is suspended, so that a planner goes on after it with a lease that another entry holds by now, and would order with a lower fence than that one. Orders are now refused unless the lease lasts by the time of day too.

Also: a stream that may go on elsewhere, but finds no other target or no retry, ends before its caller leaves like one that may not (the same cause as GONE); and a target that does not answer its agent is left by attempts that are 1.5 s old themselves.

--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/residency"
@@ -119,12 +120,14 @@
 }
 
 // mayOrder reports whether this entry plans for long enough that an order that is sent now arrives
-// meanwhile.
+// meanwhile. While the machine is suspended, the lease runs on.
 func (planRunner *planRunner) mayOrder() bool {
 	planRunner.mu.Lock()
 	defer planRunner.mu.Unlock()
-	_, held := planRunner.lease.Held(planRunner.gateway.clock.Now().Add(orderMargin))
-	return held && planRunner.heldFence != 0
+	now := planRunner.gateway.clock.Now()
+	_, held := planRunner.lease.Held(now.Add(orderMargin))
+	renewedAt, _ := planRunner.lease.Renewal()
+	return held && planRunner.heldFence != 0 && clock.Elapsed(renewedAt, now)+orderMargin < planRunner.lease.End().Sub(renewedAt)
 }
 
 // wake brings the next planning round forward.
--- a/entry/gateway/silence.go
+++ b/entry/gateway/silence.go
@@ -78,11 +78,12 @@
 		gateway.dispatcher.Stalled(attempt.target.Key(), attempt.number, now) && !gateway.hasUnread(attempt)
 }
 
-// isHopeless reports whether an attempt at a silent target cannot go on elsewhere and gets no event
-// before its caller leaves. The caller must hold gateway.mu.
+// isHopeless reports whether an attempt at a silent target cannot go on elsewhere, or found no other
+// target or no retry, and gets no event before its caller leaves. The caller must hold gateway.mu.
 func (gateway *Gateway) isHopeless(attempt *attempt) bool {
 	now := gateway.clock.Now()
-	return !attempt.leaving.allowed && attempt.call.route.Kind() == directory.Stream &&
+	stays := !attempt.leaving.allowed || now.Before(attempt.leaving.notTill)
+	return stays && attempt.call.route.Kind() == directory.Stream &&
 		gateway.dispatcher.Hopeless(attempt.target.Key(), attempt.number, attempt.callerLeavesAt(), now) && !gateway.hasUnread(attempt)
 }
 
--- a/entry/gateway/silence_test.go
+++ b/entry/gateway/silence_test.go
@@ -289,3 +289,18 @@
 		})
 	}
 }
+
+func TestCallerLeavesStreamThatFindsNoOtherTargetThanTheFrozenOne(t *testing.T) {
+	const patience = 2400 * time.Millisecond
+	fixture := newSilenceFixture(t, "127.0.0.1:1", directory.RouteSpec{Kind: directory.Stream, Resumable: true, Attempts: 3})
+	fixture.gateway.dispatcher.SetTargets([]*directory.Target{fixture.target})
+	fixture.attempt.call.placement.StartBy = fixture.fake.Now().Add(patience)
+	attempt := fixture.attempt.call.newAttempt(fixture.target)
+	fixture.fake.Advance(patience - 600*time.Millisecond)
+	fixture.lookForSilence()
+	assert.NilError(t, attempt.ctx.Err(), "its target may still answer")
+	fixture.fake.Advance(300 * time.Millisecond)
+	fixture.lookForSilence()
+	fixture.lookForSilence()
+	assert.Assert(t, attempt.ctx.Err() != nil, "the caller gets no answer before it leaves")
+}
--- a/kernel/dispatch/dispatcher.go
+++ b/kernel/dispatch/dispatcher.go
@@ -285,19 +285,24 @@
 	}
 	attempt := replica.attempts[number]
 	callerLeaving := attempt != nil && !attempt.started && attempt.startBy.Sub(now) < minStartTime
-	return callerLeaving || dispatcher.longSilent(replica, now)
+	return callerLeaving || dispatcher.longSilent(replica, attempt, now)
 }
 
 // longSilent reports whether the target has been silent for stallTimeout.
-func (dispatcher *Dispatcher) longSilent(replica *replica, now time.Time) bool {
-	return replica.silentFor(stallTimeout, now, dispatcher.lateness) || replica.unreachableFor(stallTimeout, now, dispatcher.lateness)
+func (dispatcher *Dispatcher) longSilent(replica *replica, attempt *attempt, now time.Time) bool {
+	lateness := dispatcher.lateness
+	return replica.silentFor(stallTimeout, now, lateness) ||
+		attempt != nil && silentSince(attempt.sentAt, stallTimeout, now, lateness) && replica.unreachableFor(stallTimeout, now, lateness)
 }
 
 // Hopeless reports whether the caller of the attempt with this number is about to leave, at leavesAt
 // unless an event comes, while the target has been silent for long.
 func (dispatcher *Dispatcher) Hopeless(key directory.TargetKey, number uint64, leavesAt, now time.Time) bool {
 	replica := dispatcher.replicas[key]
-	return replica != nil && replica.attempts[number] != nil && leavesAt.Sub(now) < minStartTime && dispatcher.longSilent(replica, now)
+	if replica == nil || replica.attempts[number] == nil || leavesAt.Sub(now) >= minStartTime {
+		return false
+	}
+	return dispatcher.longSilent(replica, replica.attempts[number], now)
 }
 
 // Silent reports whether a target seems frozen: neither it nor its agent has sent anything lately.
--- a/kernel/dispatch/dispatcher_test.go
+++ b/kernel/dispatch/dispatcher_test.go
@@ -532,6 +532,8 @@
 		now := start.Add(stallTimeout)
 		dispatcher.SetReport(keys[0], directory.Report{At: now, Models: resident, Unreachable: true, Remote: remote})
 		assert.Assert(t, dispatcher.Stalled(keys[0], number, now), "remote %v", remote)
+		later := dispatcher.RecordSent(keys[0], newTestRequest(), now.Add(-time.Second))
+		assert.Assert(t, !dispatcher.Stalled(keys[0], later, now.Add(-100*time.Millisecond)), "remote %v: sent 0.9 s ago", remote)
 		dispatcher.RecordActivity(keys[0], now)
 		assert.Assert(t, !dispatcher.Stalled(keys[0], number, now), "remote %v: the target has just sent something", remote)
 	}
