Take no target for unreachable that answers without a report

What callers saw, in tests: with agents that the planner runs, targets whose answer to a request for a report was no report got no requests: 0 of 56 sound ones were served in TestPartOfPromptEndsTargetsOneAfterTheOther, whose stand-ins know no reports.

Cause: each failed report counted as no answer, also one with another status or with bytes that are no report. The agents beside targets did the same.

Change: such errors are marked (directory.ErrAnswered); the target is not announced as unreachable, only without report and orders.

--- a/kernel/directory/engine.go
+++ b/kernel/directory/engine.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Order asks an engine to load or unload a model or one of its adapters.
@@ -54,11 +56,14 @@
 	return fmt.Sprintf("the target asks for a rest of %v", restError.rest)
 }
 
+// ErrAnswered marks the error of a call that the target has answered, though not as it should.
+var ErrAnswered = errors.New("the target answered in an unexpected way")
+
 // Engine is a client of a target that takes orders. Its errors wrap a RestError if the
 // target asks for a rest; the user makes no calls meanwhile.
 type Engine interface {
 	// Report returns the target's report of itself. It leaves At and BusyFor to the
-	// caller.
+	// caller. Its error is marked with ErrAnswered if the target is not silent.
 	Report(ctx context.Context) (Report, error)
 	// Identify returns the ID of the target's current incarnation.
 	Identify(ctx context.Context) (string, error)
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -479,7 +479,11 @@
 		sidecar.recordRest(err)
 		sidecar.reachable = false
 		sidecar.controller.ReportsLost()
-		sidecar.sendUnreachable()
+		if errors.Is(err, directory.ErrAnswered) {
+			sidecar.options.Metrics.Add("reports.unusable", 1)
+		} else {
+			sidecar.sendUnreachable()
+		}
 		return
 	}
 	if id != "" {
--- a/kernel/sidecar/sidecar_test.go
+++ b/kernel/sidecar/sidecar_test.go
@@ -375,3 +375,26 @@
 		fake.Advance(time.Second)
 	}
 }
+
+// A target that answers with a refusal or with bytes that are no report may serve its requests.
+func TestTargetThatAnswersWithoutReportCountsAsUnreachable(t *testing.T) {
+	for name, test := range map[string]struct {
+		err         error
+		unreachable bool
+	}{
+		"no answer": {errUnavailable, true},
+		"no report": {errors.Mark(errUnavailable, directory.ErrAnswered), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			published := []*wire.TargetState{}
+			sidecar := New(Options{
+				Name: "e", Target: "10.0.0.1:80", Engine: idleEngine{}, Clock: clock.NewFake(now), Logs: logs.Discard(), Metrics: metric.New(t.Name()),
+				Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Publish: func(state *wire.TargetState, _ bool) { published = append(published, state) }},
+			})
+			sidecar.handleReport(directory.Report{}, "", test.err)
+			unreachable := len(published) > 0 && published[len(published)-1].Unreachable
+			assert.Equal(t, unreachable, test.unreachable)
+		})
+	}
+}
