--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -45,7 +45,6 @@
 	firstStartDelay      = time.Second            // at the first start of the system, until the operator has written the configuration
 	configCheckInterval  = 2 * time.Second        // between two checks whether entries have announced a newer configuration, and before an invalid one is read again
 	configWatchTimeout   = 3 * time.Second        // of a watch for the first configuration; bounds how long a dead connection goes unnoticed
-	maxPollPause         = 600 * time.Millisecond // between two polls of an agent that runs in time; the planner waits longer before it takes the orders over
 	unloadEstimate       = 500 * time.Millisecond // expected duration of an unload, which waits for the model's running requests
 	loadLineInterval     = time.Second            // between two log lines with the target's load
 	storeLoadWindow      = 8 * time.Second        // age up to which loads from the weight store are reported
@@ -298,26 +297,6 @@
 	sidecar.requestReport(ctx)
 }
 
-// mayOrder reports whether the target may be given orders.
-func (sidecar *Sidecar) mayOrder() bool {
-	return sidecar.fence != 0 && (sidecar.options.Remote != nil || sidecar.right.Held(sidecar.options.Clock.Now()))
-}
-
-// handleClaim handles the planner's claim of the orders, and answers with the target's state, by
-// which the planner learns that the agent runs.
-func (sidecar *Sidecar) handleClaim(from netip.AddrPort, claim *wire.OrderClaim, now time.Time) {
-	sidecar.options.Metrics.Add("orders.claimed", 1)
-	if claim.Fence != 0 {
-		if sidecar.right.Held(now) {
-			sidecar.log.Infof("planner with fence %d gives orders with fence %d to the target", claim.PlanFence, claim.Fence)
-		}
-		sidecar.right.Claim(claim.PlanFence, claim.Fence, now)
-		sidecar.controller.Abandon("the planner gives the orders")
-	}
-	sidecar.subscribe(from, 0, now)
-	sidecar.sendState()
-}
-
 // resting reports whether the target has asked for no calls now.
 func (sidecar *Sidecar) resting() bool {
 	return sidecar.rest.Left(sidecar.options.Clock.Now()) > 0
@@ -425,18 +404,6 @@
 	return pause
 }
 
-// recordPause records when this process has not run for so long that the planner may have taken
-// the orders over. A suspended machine shows only by the time of day.
-func (sidecar *Sidecar) recordPause() {
-	now, last := sidecar.options.Clock.Now(), sidecar.polledAt
-	sidecar.polledAt = now
-	if last.IsZero() || clock.Elapsed(last, now) < maxPollPause {
-		return
-	}
-	sidecar.log.Infof("the agent did not run for %v, or the time of day was set; it gives no orders until it knows that the planner gives none", now.Sub(last))
-	sidecar.right.Suspend(now)
-}
-
 // requestReport requests a report from the target unless a request is pending.
 // After a restart of the target it also requests its new ID.
 func (sidecar *Sidecar) requestReport(ctx context.Context) {
