--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -48,7 +48,6 @@
 type remoteAgent struct {
 	sidecar  *sidecar.Sidecar
 	stop     context.CancelFunc
-	key      directory.TargetKey
 	agent    netip.AddrPort // address of the engine's own agent
 	since    time.Time      // start of the claims
 	fence    uint64         // of the orders, 0 before the first
@@ -99,10 +98,7 @@
 			delete(remoteAgents.running, address)
 			continue
 		}
-		// An agent that has given orders started before the first claim, and so before a renewal after it.
-		heard := remoteAgents.heard[remoteAgent.agent.Addr()].at
-		if remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
-			now.Sub(remoteAgent.since) >= agentTakeOverAfter && gateway.silence(heard, now) >= orderPause {
+		if remoteAgents.mayTakeOver(remoteAgent, renewedAt, now) {
 			remoteAgent.fence = orders.PlannerFence(revision)
 			remoteAgent.sidecar.SetFence(ctx, remoteAgent.fence)
 		}
@@ -119,6 +115,15 @@
 	}
 }
 
+// mayTakeOver reports whether this entry may begin to give orders in place of a silent agent. An agent
+// that has given orders started before the first claim, and so before a renewal of the planner's lease
+// that was sent after it. The caller must hold mu.
+func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
+	heard := remoteAgents.heard[remoteAgent.agent.Addr()].at
+	return remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
+		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(heard, now) >= orderPause
+}
+
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
 // is heard again. The caller must hold mu.
 func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) {
@@ -148,7 +153,7 @@
 func (remoteAgents *remoteAgents) start(ctx context.Context, target *directory.Target, agent netip.AddrPort, planFence uint64, now time.Time) {
 	gateway := remoteAgents.gateway
 	ctx, cancel := context.WithCancel(ctx)
-	started := &remoteAgent{stop: cancel, key: target.Key(), agent: agent, since: now, planning: planFence}
+	started := &remoteAgent{stop: cancel, agent: agent, since: now, planning: planFence}
 	started.sidecar = sidecar.New(sidecar.Options{
 		Name: gateway.options.Name, Target: target.Address(), Service: target.Service(),
 		Engine: leasedEngine{gateway.options.NewEngine(target.Address()), gateway.planner.mayOrder},
