Wait for a former planner's orders like for an agent's

It now waits until neither the agent nor another entry that announced orders has been heard for 3 s.

Evidence: TestNewPlannerGivesOrdersRightAfterFormerHolder fails without the change. Not seen on a site.

--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -130,8 +130,11 @@
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	key := directory.TargetKey{ID: state.Target, StartedAt: state.StartedAt}
-	if !state.Remote {
+	switch {
+	case !state.Remote:
 		gateway.remoteAgents.recordHeard(from.Addr(), state.Interval, arrivedAt)
+	case state.CanSendOrders && from != peers.ownAddress():
+		gateway.remoteAgents.recordHolder(state.Target, arrivedAt)
 	}
 	peers.mu.Lock()
 	before, known := peers.agentStates[key]
--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -36,6 +36,7 @@
 	running map[string]*remoteAgent // by address of the engine
 	listed  map[string]time.Time    // when this entry first saw the engine, by address
 	heard   map[netip.Addr]agentHeard
+	holders map[string]time.Time // when another entry last announced that it may give a target orders, by ID
 }
 
 // agentHeard is when an agent was last heard.
@@ -48,6 +49,7 @@
 type remoteAgent struct {
 	sidecar  *sidecar.Sidecar
 	stop     context.CancelFunc
+	target   string         // ID of the engine in the list
 	agent    netip.AddrPort // address of the engine's own agent
 	since    time.Time      // start of the claims
 	fence    uint64         // of the orders, 0 before the first
@@ -59,7 +61,7 @@
 }
 
 func newRemoteAgents(gateway *Gateway) *remoteAgents {
-	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, heard: map[netip.Addr]agentHeard{}}
+	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, heard: map[netip.Addr]agentHeard{}, holders: map[string]time.Time{}}
 }
 
 // recordHeard records a message of the agent on a host.
@@ -71,6 +73,13 @@
 	}
 }
 
+// recordHolder records that another entry may give a target orders.
+func (remoteAgents *remoteAgents) recordHolder(target string, at time.Time) {
+	remoteAgents.mu.Lock()
+	defer remoteAgents.mu.Unlock()
+	remoteAgents.holders[target] = at
+}
+
 // update starts, continues and ends the agents that this entry runs. PlanFence is the fence of this
 // entry's planner, 0 if it does not plan; renewedAt and revision are of its last write to the lease.
 func (remoteAgents *remoteAgents) update(ctx context.Context, planFence uint64, renewedAt time.Time, revision uint64) {
@@ -91,6 +100,7 @@
 		}
 	}
 	maps.DeleteFunc(remoteAgents.heard, func(_ netip.Addr, last agentHeard) bool { return now.Sub(last.at) > heardRetention })
+	maps.DeleteFunc(remoteAgents.holders, func(_ string, last time.Time) bool { return now.Sub(last) > heardRetention })
 	maps.DeleteFunc(remoteAgents.listed, func(address string, _ time.Time) bool { return !addresses[address] })
 	for address, remoteAgent := range remoteAgents.running {
 		if planFence != remoteAgent.planning || !addresses[address] || remoteAgent.ended && now.Sub(remoteAgent.sidecar.OrderedAt()) > orderPause {
@@ -115,13 +125,15 @@
 	}
 }
 
-// mayTakeOver reports whether this entry may begin to give orders in place of a silent agent. An agent
+// mayTakeOver reports whether this entry may begin to give orders in place of a silent agent, or of a
+// former planner. An agent
 // that has given orders started before the first claim, and so before a renewal of the planner's lease
 // that was sent after it. The caller must hold mu.
 func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
 	heard := remoteAgents.heard[remoteAgent.agent.Addr()].at
 	return remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
-		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(heard, now) >= orderPause
+		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(heard, now) >= orderPause &&
+		now.Sub(remoteAgents.holders[remoteAgent.target]) >= orderPause
 }
 
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
@@ -137,6 +149,7 @@
 		!known && gateway.silence(remoteAgents.listed[target.Address()], now) >= agentStartTime
 	running := remoteAgents.running[target.Address()]
 	if running != nil {
+		running.target = target.ID()
 		remoteAgents.setService(running, target)
 	}
 	switch {
@@ -153,7 +166,7 @@
 func (remoteAgents *remoteAgents) start(ctx context.Context, target *directory.Target, agent netip.AddrPort, planFence uint64, now time.Time) {
 	gateway := remoteAgents.gateway
 	ctx, cancel := context.WithCancel(ctx)
-	started := &remoteAgent{stop: cancel, agent: agent, since: now, planning: planFence}
+	started := &remoteAgent{stop: cancel, target: target.ID(), agent: agent, since: now, planning: planFence}
 	started.sidecar = sidecar.New(sidecar.Options{
 		Name: gateway.options.Name, Target: target.Address(), Service: target.Service(),
 		Engine: leasedEngine{gateway.options.NewEngine(target.Address()), gateway.planner.mayOrder},
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/proptest"
+	"endiverill.example/kernel/wire"
 )
 
 // steppedClock is a clock whose time of day differs from the steady one by a step.
@@ -46,3 +48,31 @@
 		})
 	}
 }
+
+func TestNewPlannerGivesOrdersRightAfterFormerHolder(t *testing.T) {
+	const waited = 2 * time.Second
+	for name, test := range map[string]struct {
+		agent, planner time.Duration // since the agent, and since another planner was heard; 0 for never
+		takesOver      bool
+	}{
+		"nobody was heard":              {0, 0, true},
+		"the agent was just heard":      {waited, 0, false},
+		"a planner was just heard":      {0, waited, false},
+		"both have been silent for 3 s": {orderPause, orderPause, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := clock.NewFake(time.Unix(1000, 0))
+			gateway := newIdleGateway(t, fake)
+			now := fake.Now()
+			agent := netip.MustParseAddrPort("10.0.0.1:2")
+			running := &remoteAgent{target: "i-1", agent: agent, since: now.Add(-waited)}
+			if test.agent > 0 {
+				gateway.remoteAgents.recordHeard(agent.Addr(), 0, now.Add(-test.agent))
+			}
+			if test.planner > 0 {
+				gateway.peers.receiveTarget(netip.MustParseAddrPort("10.0.0.2:1"), &wire.TargetState{Target: "i-1", Remote: true, Full: true, CanSendOrders: true}, now.Add(-test.planner))
+			}
+			assert.Equal(t, gateway.remoteAgents.mayTakeOver(running, now.Add(-time.Second), now), test.takesOver)
+		})
+	}
+}
