Ask limited targets for few reports from another machine

Cause: the planner asks an engine without an agent for a report each 0.5 s, whatever the engine allows, and even if it gives none.

Change: at most a quarter of the limit goes into reports, and a target that answers without a report is asked each 5 s.

--- a/kernel/sidecar/remote.go
+++ b/kernel/sidecar/remote.go
@@ -14,6 +14,8 @@
 const (
 	remoteReportInterval = 500 * time.Millisecond // reports that are asked for by another machine are priced and some 100 ms old
 	remoteUrgentInterval = 100 * time.Millisecond // while requests wait for an adapter, or an order waits for a report
+	remoteUnusablePause  = 5 * time.Second        // after an answer that was no report
+	remoteLimitShare     = 0.25                   // of the requests a second that a target allows, for reports
 	remoteAdapterTime    = 20 * time.Millisecond  // from an accepted order to the end of the load of an adapter, which takes 5 to 14 ms
 )
 
@@ -26,6 +28,34 @@
 	Send    func(addresses []netip.AddrPort, message wire.Message) // sends a result
 }
 
+// reportPause returns the time until the next request for a report.
+func (sidecar *Sidecar) reportPause() time.Duration {
+	pause := reportInterval
+	switch urgent := sidecar.controller.NeedsReport(); {
+	case sidecar.options.Remote != nil:
+		return sidecar.remoteReportPause(urgent)
+	case urgent:
+		pause = urgentReportInterval
+	}
+	return pause
+}
+
+// remoteReportPause is reportPause for a target on another machine, which may count reports as
+// requests.
+func (sidecar *Sidecar) remoteReportPause(urgent bool) time.Duration {
+	pause := remoteReportInterval
+	switch {
+	case sidecar.unusable:
+		return remoteUnusablePause
+	case urgent:
+		pause = remoteUrgentInterval
+	}
+	if report := sidecar.report; report.Limited && report.Limit > 0 {
+		pause = max(pause, time.Duration(float64(time.Second)/(remoteLimitShare*report.Limit)))
+	}
+	return pause
+}
+
 // RunRemote polls the target and gives it orders until ctx ends. No order is given before SetFence.
 func (sidecar *Sidecar) RunRemote(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -98,6 +98,7 @@
 	nextState            time.Time                 // a report requested at or after this time is sent even if nothing has changed
 	publishedVersion     uint64                    // inventoryVersion in the last state of a remote agent
 	publishedUnreachable bool                      // Unreachable in it
+	unusable             bool                      // the target answered the last request for a report with something else
 	listedTargets        []*directory.Target       // from which models of an earlier incarnation are restored; nil before the list is read and after they were
 	routableModels       []directory.ResidentModel // in the last state sent
 }
@@ -392,18 +393,6 @@
 	return nil
 }
 
-// reportPause returns the time until the next request for a report.
-func (sidecar *Sidecar) reportPause() time.Duration {
-	pause, urgent := reportInterval, urgentReportInterval
-	if sidecar.options.Remote != nil {
-		pause, urgent = remoteReportInterval, remoteUrgentInterval
-	}
-	if sidecar.controller.NeedsReport() {
-		return urgent
-	}
-	return pause
-}
-
 // requestReport requests a report from the target unless a request is pending.
 // After a restart of the target it also requests its new ID.
 func (sidecar *Sidecar) requestReport(ctx context.Context) {
@@ -446,7 +435,7 @@
 		sidecar.recordRest(err)
 		sidecar.reachable = false
 		sidecar.controller.ReportsLost()
-		if errors.Is(err, directory.ErrAnswered) {
+		if sidecar.unusable = errors.Is(err, directory.ErrAnswered); sidecar.unusable {
 			sidecar.options.Metrics.Add("reports.unusable", 1)
 		} else {
 			sidecar.sendUnreachable()
@@ -468,6 +457,7 @@
 	changed := !sidecar.reachable || report.Busy != sidecar.report.Busy || report.Draining != sidecar.report.Draining ||
 		report.Sequence != sidecar.report.Sequence || !reflect.DeepEqual(report.Models, sidecar.report.Models) ||
 		!slices.Equal(report.LoadingAdapters, sidecar.report.LoadingAdapters)
+	sidecar.unusable = false
 	mayOrder := sidecar.mayOrder()
 	changed = changed || mayOrder != sidecar.heldOrders
 	sidecar.report, sidecar.reachable, sidecar.heldOrders = report, true, mayOrder
--- a/kernel/sidecar/sidecar_test.go
+++ b/kernel/sidecar/sidecar_test.go
@@ -398,3 +398,23 @@
 		})
 	}
 }
+
+func TestReportsUseUpTheLimitThatTargetNames(t *testing.T) {
+	for name, test := range map[string]struct {
+		report directory.Report
+		err    error
+		pause  time.Duration
+	}{
+		"no limit":        {directory.Report{StartedAt: 7}, nil, remoteReportInterval},
+		"two a second":    {directory.Report{StartedAt: 7, Limited: true, Limit: 2}, nil, 2 * time.Second},
+		"a hundred":       {directory.Report{StartedAt: 7, Limited: true, Limit: 100}, nil, remoteReportInterval},
+		"gives no report": {directory.Report{}, errors.Mark(errUnavailable, directory.ErrAnswered), remoteUnusablePause},
+	} {
+		sidecar := New(Options{
+			Name: "e", Target: "10.0.0.1:80", Engine: idleEngine{}, Clock: clock.NewFake(time.Unix(100, 0)), Logs: logs.Discard(), Metrics: metric.New(t.Name() + name),
+			Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Publish: func(*wire.TargetState, bool) {}},
+		})
+		sidecar.handleReport(test.report, "", test.err)
+		assert.Equal(t, sidecar.reportPause(), test.pause, name)
+	}
+}
