Look for a caller that has left right before its request is passed on

Cause: callers are checked each 150 ms. An entry that runs late, as one with 0.144 cores does, finds the wait of a request over (for an adapter, a permit, a model, a retry) before that check has run, and passes the request on although its caller has closed the connection meanwhile.

Ruled out, by reading: the waits themselves end with the call's context (adapter, permit, model, retry of another target). A caller that half closes counts as gone, as before.

Change: one look at the caller's socket before each attempt, without reading.

--- a/entry/gateway/callerwatch.go
+++ b/entry/gateway/callerwatch.go
@@ -38,6 +38,18 @@
 	delete(callerWatch.calls, call)
 }
 
+// look cancels a call whose caller has closed its connection. It is called right before the call is
+// passed on, since the regular check of a process that runs late may be long ago.
+func (callerWatch *callerWatch) look(call *call) {
+	callerWatch.mu.Lock()
+	conn := callerWatch.calls[call]
+	callerWatch.mu.Unlock()
+	if conn != nil && connection.Peek(conn) == connection.Closed {
+		call.cancel(errCallerGone)
+		callerWatch.remove(call)
+	}
+}
+
 // cancelAll cancels all calls.
 func (callerWatch *callerWatch) cancelAll(cause error) {
 	callerWatch.mu.Lock()
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -366,6 +366,10 @@
 // try sends the call to one target and reads the header of the response, or the
 // complete response unless the route is for streams.
 func (gateway *Gateway) try(call *call, target *directory.Target) attemptResult {
+	gateway.callerWatch.look(call)
+	if fault := call.endFault(code.RanNo); fault != nil {
+		return attemptResult{ran: code.RanNo, unsent: true, fault: fault}
+	}
 	if !gateway.usePermit(call, target) {
 		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetsLimited, code.RanNo, "the target has named a limit, and the request has no permit").WithRetryAfter(defaultRetryAfter)}
 	}
