--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -132,7 +132,7 @@
 	key := directory.TargetKey{ID: state.Target, StartedAt: state.StartedAt}
 	switch {
 	case !state.Remote:
-		gateway.remoteAgents.recordHeard(from.Addr(), state.Interval, arrivedAt)
+		gateway.remoteAgents.recordMessage(from.Addr(), state.Interval, arrivedAt)
 	case state.CanSendOrders && from != peers.ownAddress():
 		gateway.remoteAgents.recordHolder(state.Target, arrivedAt)
 	}
@@ -145,7 +145,7 @@
 	}
 	if state.Remote && known && !before.state.Remote && gateway.silence(before.at, now) < agentObserveAfter {
 		peers.mu.Unlock()
-		return // the target's own agent is heard here
+		return // this entry gets messages of the target's own agent
 	}
 	listed, fullAt := state.Entries, arrivedAt
 	if len(state.Entries) == 0 {
--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -15,10 +15,10 @@
 
 const (
 	agentObserveAfter  = 400 * time.Millisecond  // silence of an agent after which the planner asks its target; longer if its messages are further apart
-	agentStartTime     = 2500 * time.Millisecond // an agent that has not been heard yet may be starting for that long
+	agentStartTime     = 2500 * time.Millisecond // an agent may be starting for that long before its first message
 	agentTakeOverAfter = 1200 * time.Millisecond // from the first claim, which an agent that runs answers, to the first order; agents suspend their orders after half of it
 	orderPause         = 3 * time.Second         // at least, between orders of an agent and of the planner: holders may not take turns within it
-	heardRetention     = 30 * time.Second        // after which it makes no difference whether an agent was ever heard
+	messageRetention   = 30 * time.Second        // after which it makes no difference whether an agent ever sent a message
 	orderMargin        = 500 * time.Millisecond  // for which the planner's lease must last beyond the sending of an order
 	remoteStateRate    = 600                     // state messages a second that the planner sends to other entries beside changes
 	claimInterval      = 200 * time.Millisecond  // between two claims to one agent, at least
@@ -29,18 +29,18 @@
 // own agents are silent: those without a machine beside them, and those whose agent has ended or
 // stands still. So whether an engine is known, and which models it holds, does not depend on its
 // agent alone. The planner first asks the engine for reports, which shows all entries whether it
-// stands still too, and then takes the orders over. It hands them back once it hears the agent.
+// stands still too, and then takes the orders over. It hands them back once the agent sends messages again.
 type remoteAgents struct {
-	gateway *Gateway
-	mu      sync.Mutex              // guards the fields below
-	running map[string]*remoteAgent // by address of the engine
-	listed  map[string]time.Time    // when this entry first saw the engine, by address
-	heard   map[netip.Addr]agentHeard
-	holders map[string]time.Time // when another entry last announced that it may give a target orders, by ID
+	gateway  *Gateway
+	mu       sync.Mutex                  // guards the fields below
+	running  map[string]*remoteAgent     // by address of the engine
+	listed   map[string]time.Time        // when this entry first saw the engine, by address
+	messages map[netip.Addr]agentMessage // last of each agent, by host
+	holders  map[string]time.Time        // when another entry last announced that it may give a target orders, by ID
 }
 
-// agentHeard is when an agent was last heard.
-type agentHeard struct {
+// agentMessage is the time of an agent's last message.
+type agentMessage struct {
 	at       time.Time
 	interval time.Duration // longest time until its next message
 }
@@ -61,15 +61,15 @@
 }
 
 func newRemoteAgents(gateway *Gateway) *remoteAgents {
-	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, heard: map[netip.Addr]agentHeard{}, holders: map[string]time.Time{}}
+	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, messages: map[netip.Addr]agentMessage{}, holders: map[string]time.Time{}}
 }
 
-// recordHeard records a message of the agent on a host.
-func (remoteAgents *remoteAgents) recordHeard(host netip.Addr, interval time.Duration, at time.Time) {
+// recordMessage records a message of the agent on a host.
+func (remoteAgents *remoteAgents) recordMessage(host netip.Addr, interval time.Duration, at time.Time) {
 	remoteAgents.mu.Lock()
 	defer remoteAgents.mu.Unlock()
-	if last := remoteAgents.heard[host]; at.After(last.at) {
-		remoteAgents.heard[host] = agentHeard{at: at, interval: interval}
+	if last := remoteAgents.messages[host]; at.After(last.at) {
+		remoteAgents.messages[host] = agentMessage{at: at, interval: interval}
 	}
 }
 
@@ -99,8 +99,8 @@
 			remoteAgents.updateTarget(ctx, target, planFence, now)
 		}
 	}
-	maps.DeleteFunc(remoteAgents.heard, func(_ netip.Addr, last agentHeard) bool { return now.Sub(last.at) > heardRetention })
-	maps.DeleteFunc(remoteAgents.holders, func(_ string, last time.Time) bool { return now.Sub(last) > heardRetention })
+	maps.DeleteFunc(remoteAgents.messages, func(_ netip.Addr, last agentMessage) bool { return now.Sub(last.at) > messageRetention })
+	maps.DeleteFunc(remoteAgents.holders, func(_ string, last time.Time) bool { return now.Sub(last) > messageRetention })
 	maps.DeleteFunc(remoteAgents.listed, func(address string, _ time.Time) bool { return !addresses[address] })
 	for address, remoteAgent := range remoteAgents.running {
 		if planFence != remoteAgent.planning || !addresses[address] || remoteAgent.ended && now.Sub(remoteAgent.sidecar.OrderedAt()) > orderPause {
@@ -130,22 +130,22 @@
 // that has given orders started before the first claim, and so before a renewal of the planner's lease
 // that was sent after it. The caller must hold mu.
 func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
-	heard := remoteAgents.heard[remoteAgent.agent.Addr()].at
+	last := remoteAgents.messages[remoteAgent.agent.Addr()].at
 	return remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
-		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(heard, now) >= orderPause &&
+		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(last, now) >= orderPause &&
 		now.Sub(remoteAgents.holders[remoteAgent.target]) >= orderPause
 }
 
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
-// is heard again. The caller must hold mu.
+// sends messages again. The caller must hold mu.
 func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) {
 	gateway := remoteAgents.gateway
 	agent, err := gateway.peers.agentAddress(target)
 	if err != nil {
 		return // the listed host is not an IP address; loadAdapter and execute log the error
 	}
-	heard, known := remoteAgents.heard[agent.Addr()]
-	silent := known && gateway.silence(heard.at, now) >= max(agentObserveAfter, 2*heard.interval) ||
+	last, known := remoteAgents.messages[agent.Addr()]
+	silent := known && gateway.silence(last.at, now) >= max(agentObserveAfter, 2*last.interval) ||
 		!known && gateway.silence(remoteAgents.listed[target.Address()], now) >= agentStartTime
 	running := remoteAgents.running[target.Address()]
 	if running != nil {
@@ -158,7 +158,7 @@
 	case running != nil && !silent && !running.ended:
 		running.ended = true
 		running.sidecar.SetFence(ctx, 0)
-		gateway.log.Infof("the agent of target %s is heard again", target.ID())
+		gateway.log.Infof("the agent of target %s sends messages again", target.ID())
 	}
 }
 
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -52,12 +52,12 @@
 func TestNewPlannerGivesOrdersRightAfterFormerHolder(t *testing.T) {
 	const waited = 2 * time.Second
 	for name, test := range map[string]struct {
-		agent, planner time.Duration // since the agent, and since another planner was heard; 0 for never
+		agent, planner time.Duration // since the last message of the agent, and of another planner; 0 for none
 		takesOver      bool
 	}{
-		"nobody was heard":              {0, 0, true},
-		"the agent was just heard":      {waited, 0, false},
-		"a planner was just heard":      {0, waited, false},
+		"no messages":                   {0, 0, true},
+		"a message of the agent":        {waited, 0, false},
+		"a message of a planner":        {0, waited, false},
 		"both have been silent for 3 s": {orderPause, orderPause, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -67,7 +67,7 @@
 			agent := netip.MustParseAddrPort("10.0.0.1:2")
 			running := &remoteAgent{target: "i-1", agent: agent, since: now.Add(-waited)}
 			if test.agent > 0 {
-				gateway.remoteAgents.recordHeard(agent.Addr(), 0, now.Add(-test.agent))
+				gateway.remoteAgents.recordMessage(agent.Addr(), 0, now.Add(-test.agent))
 			}
 			if test.planner > 0 {
 				gateway.peers.receiveTarget(netip.MustParseAddrPort("10.0.0.2:1"), &wire.TargetState{Target: "i-1", Remote: true, Full: true, CanSendOrders: true}, now.Add(-test.planner))
