--- a/entry/exchange/arrivals.go
+++ b/entry/exchange/arrivals.go
@@ -6,7 +6,7 @@
 	"endiverill.example/kernel/connection"
 )
 
-// Arrivals tells what a target has sent for one request, by looks into the socket of its
+// Arrivals reports what a target has sent for one request, by looks into the socket of its
 // connection. It is safe for concurrent use.
 type Arrivals struct {
 	mu   sync.Mutex
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -41,7 +41,7 @@
 	// is not reused, since a late duplicate of it could be taken for the response to
 	// the next request.
 	Matches func(header *fasthttp.ResponseHeader) (matches, anonymous bool)
-	// Arrivals, if not nil, tells what arrives for the request.
+	// Arrivals, if not nil, reports what arrives for the request.
 	Arrivals *Arrivals
 }
 
--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -161,8 +161,8 @@
 	origins.gateway.peers.sendEach([]netip.AddrPort{from}, &wire.CommandResult{ID: request.ID, Done: known, Origin: uint64(origin)})
 }
 
-// origin returns the origin of a stream, from this entry's records or those of the entries
-// that are asked for it. An entry that has just started knows few other ones and has perhaps
+// origin returns the origin of a stream, from this entry's records or those of other
+// entries. An entry that has just started knows few other ones and has perhaps
 // not read the store, so it waits for a while.
 func (origins *origins) origin(ctx context.Context, id stream.ID) (origin stream.Origin, known bool) {
 	gateway := origins.gateway
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -366,20 +366,10 @@
 // try sends the call to one target and reads the header of the response, or the
 // complete response unless the route is for streams.
 func (gateway *Gateway) try(call *call, target *directory.Target) attemptResult {
-	gateway.callerWatch.look(call)
-	if fault := call.endFault(code.RanNo); fault != nil {
+	verdict, fault := gateway.checkSend(call, target)
+	if fault != nil {
 		return attemptResult{ran: code.RanNo, unsent: true, fault: fault}
 	}
-	if !gateway.usePermit(call, target) {
-		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetsLimited, code.RanNo, "the target has named a limit, and the request has no permit").WithRetryAfter(defaultRetryAfter)}
-	}
-	if !gateway.usable(call, target) {
-		return attemptResult{ran: code.RanNo, unsent: true, fault: code.New(code.TargetLeaving, code.RanNo, "the target leaves, is at rest or may run another software version").WithRetryAfter(defaultRetryAfter)}
-	}
-	verdict := call.quarantineVerdict() // again, since the call may have waited
-	if !verdict.Allowed {
-		return attemptResult{ran: code.RanNo, unsent: true, fault: withheldFault(verdict)}
-	}
 	gateway.peers.recordAdapterUse(target.Key(), &call.placement)
 	attempt := call.newAttempt(target)
 	if verdict.Trial {
@@ -434,6 +424,26 @@
 	return result
 }
 
+// checkSend returns a fault if the call may not be sent to the target now: the call may
+// have waited since the target was chosen.
+func (gateway *Gateway) checkSend(call *call, target *directory.Target) (quarantine.Verdict, *code.Fault) {
+	gateway.callerWatch.look(call)
+	if fault := call.endFault(code.RanNo); fault != nil {
+		return quarantine.Verdict{}, fault
+	}
+	if !gateway.usePermit(call, target) {
+		return quarantine.Verdict{}, code.New(code.TargetsLimited, code.RanNo, "the target has named a limit, and the request has no permit").WithRetryAfter(defaultRetryAfter)
+	}
+	if !gateway.usable(call, target) {
+		return quarantine.Verdict{}, code.New(code.TargetLeaving, code.RanNo, "the target leaves, is at rest or may run another software version").WithRetryAfter(defaultRetryAfter)
+	}
+	verdict := call.quarantineVerdict()
+	if !verdict.Allowed {
+		return quarantine.Verdict{}, withheldFault(verdict)
+	}
+	return verdict, nil
+}
+
 // attemptDeclined records that a target did not run the request and, if the request
 // was misdirected, that the target does not hold its model or adapter.
 func (gateway *Gateway) attemptDeclined(attempt *attempt, responseHead ResponseHead) {
