Take orders over only from agents whose engine answers

An agent and its engine share a machine. Cut off from the planner for 3 s, both looked like an engine whose agent is lost: the planner counted the silence, took a fence during the cut, and might order with the engine's first report after it, before the agent could answer a claim. The agent had gone on to order adapters for entries that reach it, so two holders could take turns within LeaseMs. An agent that started during the cut might have the higher fence.

The silence of an agent now counts only while its engine answers: the first order comes 1.2 s after the engine began to answer, with a fence of a later renewal, and orders are suspended while it does not answer. The fence is read from the planner's record each time, no longer posted to the agent's loop while the planner's lock is held, where a full queue would have blocked both.

TestPlannerGivesOrdersAsSoonAsEngineAndAgentAreReachableAgain fails on in four checks (takeover during the cut, right after it, by a fence from before it, no suspension) and passes now. Ruled out: agents that suspend themselves when they hear no entry, since other entries may reach them.

--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"endiverill.example/kernel/directory"
@@ -16,7 +17,7 @@
 const (
 	agentObserveAfter  = 400 * time.Millisecond  // silence of an agent after which the planner asks its target; longer if its messages are further apart
 	agentStartTime     = 2500 * time.Millisecond // an agent may be starting for that long before its first message
-	agentTakeOverAfter = 1200 * time.Millisecond // from the first claim, which an agent that runs answers, to the first order; agents suspend their orders after half of it
+	agentTakeOverAfter = 1200 * time.Millisecond // for which an engine answers while its agent answers no claim, until the first order; agents suspend their orders after half of it
 	orderPause         = 3 * time.Second         // at least, between orders of an agent and of the planner: holders may not take turns within it
 	messageRetention   = 30 * time.Second        // after which it makes no difference whether an agent ever sent a message
 	orderMargin        = 500 * time.Millisecond  // for which the planner's lease must last beyond the sending of an order
@@ -47,17 +48,18 @@
 
 // remoteAgent is one agent that this entry runs.
 type remoteAgent struct {
-	sidecar  *sidecar.Sidecar
-	stop     context.CancelFunc
-	target   string         // ID of the engine in the list
-	agent    netip.AddrPort // address of the engine's own agent
-	since    time.Time      // start of the claims
-	fence    uint64         // of the orders, 0 before the first
-	ended    bool           // no order is given any more, since its own agent is back
-	sentAt   time.Time      // when the state was last sent to all entries
-	claimed  time.Time      // when the last claim was sent
-	planning uint64         // fence of the planner
-	version  uint64         // of the configuration in use
+	sidecar   *sidecar.Sidecar
+	stop      context.CancelFunc
+	target    string         // ID of the engine in the list
+	agent     netip.AddrPort // address of the engine's own agent
+	answering time.Time      // since when the engine has answered each request for a report, zero if it does not
+	fence     atomic.Uint64  // of the orders, 0 if none may be given; changed while mu of remoteAgents is held
+	lastFence uint64         // highest fence of any order
+	ended     bool           // no order is given any more, since its own agent is back
+	sentAt    time.Time      // when the state was last sent to all entries
+	claimed   time.Time      // when the last claim was sent
+	planning  uint64         // fence of the planner
+	version   uint64         // of the configuration in use
 }
 
 func newRemoteAgents(gateway *Gateway) *remoteAgents {
@@ -87,6 +89,7 @@
 	now := gateway.clock.Now()
 	engines := gateway.syncer.engineTargets()
 	claims := map[netip.AddrPort]*wire.OrderClaim{}
+	var updated []*sidecar.Sidecar
 	remoteAgents.mu.Lock()
 	addresses := map[string]bool{}
 	for _, target := range engines {
@@ -95,8 +98,8 @@
 		if remoteAgents.listed[address].IsZero() {
 			remoteAgents.listed[address] = now
 		}
-		if planFence != 0 {
-			remoteAgents.updateTarget(ctx, target, planFence, now)
+		if planFence != 0 && remoteAgents.updateTarget(ctx, target, planFence, now) {
+			updated = append(updated, remoteAgents.running[address].sidecar)
 		}
 	}
 	maps.DeleteFunc(remoteAgents.messages, func(_ netip.Addr, last agentMessage) bool { return now.Sub(last.at) > messageRetention })
@@ -109,40 +112,48 @@
 			continue
 		}
 		if remoteAgents.mayTakeOver(remoteAgent, renewedAt, now) {
-			remoteAgent.fence = orders.PlannerFence(revision)
-			remoteAgent.sidecar.SetFence(ctx, remoteAgent.fence)
+			remoteAgent.lastFence = orders.PlannerFence(revision)
+			remoteAgent.fence.Store(remoteAgent.lastFence)
+			updated = append(updated, remoteAgent.sidecar)
 		}
 		if now.Sub(remoteAgent.claimed) >= claimInterval {
 			remoteAgent.claimed = now
-			claims[remoteAgent.agent] = &wire.OrderClaim{PlanFence: remoteAgent.planning, Fence: remoteAgent.fence}
+			claim := &wire.OrderClaim{PlanFence: remoteAgent.planning}
+			if remoteAgent.holds(now) {
+				claim.Fence = remoteAgent.lastFence
+			}
+			claims[remoteAgent.agent] = claim
 		}
 	}
 	count := len(remoteAgents.running)
 	remoteAgents.mu.Unlock()
 	gateway.metrics.SetGauge("targets.remote_agents", int64(count))
+	for _, agent := range updated {
+		agent.UpdateOrders(ctx)
+	}
 	for agent, claim := range claims {
 		gateway.peers.sendEach([]netip.AddrPort{agent}, claim)
 	}
 }
 
 // mayTakeOver reports whether this entry may begin to give orders in place of a silent agent, or of a
-// former planner. An agent
-// that has given orders started before the first claim, and so before a renewal of the planner's lease
-// that was sent after it. The caller must hold mu.
+// former planner. An agent is known to be silent only while its engine answers: both may be cut off
+// from this entry. An agent that has given orders started before the engine answered, and so before a
+// renewal of the planner's lease that was sent afterwards. The caller must hold mu.
 func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
 	last := remoteAgents.messages[remoteAgent.agent.Addr()].at
-	return remoteAgent.fence == 0 && !remoteAgent.ended && renewedAt.After(remoteAgent.since) &&
-		now.Sub(remoteAgent.since) >= agentTakeOverAfter && remoteAgents.gateway.silence(last, now) >= orderPause &&
+	return remoteAgent.fence.Load() == 0 && !remoteAgent.ended && !remoteAgent.answering.IsZero() && renewedAt.After(remoteAgent.answering) &&
+		now.Sub(remoteAgent.answering) >= agentTakeOverAfter && remoteAgents.gateway.silence(last, now) >= orderPause &&
 		now.Sub(remoteAgents.holders[remoteAgent.target]) >= orderPause
 }
 
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
-// sends messages again. The caller must hold mu.
-func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) {
+// sends messages again, of which it reports whether it did. The caller must hold mu.
+func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) (ended bool) {
 	gateway := remoteAgents.gateway
 	agent, err := gateway.peers.agentAddress(target)
 	if err != nil {
-		return // the listed host is not an IP address; loadAdapter and execute log the error
+		return false // the listed host is not an IP address; loadAdapter and execute log the error
 	}
 	last, known := remoteAgents.messages[agent.Addr()]
 	silent := known && gateway.silence(last.at, now) >= max(agentObserveAfter, 2*last.interval) ||
@@ -154,25 +165,27 @@
 	}
 	switch {
 	case running == nil && silent:
-		remoteAgents.start(ctx, target, agent, planFence, now)
+		remoteAgents.start(ctx, target, agent, planFence)
 	case running != nil && !silent && !running.ended:
 		running.ended = true
-		running.sidecar.SetFence(ctx, 0)
+		running.fence.Store(0)
 		gateway.log.Infof("the agent of target %s sends messages again", target.ID())
+		return true
 	}
+	return false
 }
 
 // start starts an agent for an engine. The caller must hold mu.
-func (remoteAgents *remoteAgents) start(ctx context.Context, target *directory.Target, agent netip.AddrPort, planFence uint64, now time.Time) {
+func (remoteAgents *remoteAgents) start(ctx context.Context, target *directory.Target, agent netip.AddrPort, planFence uint64) {
 	gateway := remoteAgents.gateway
 	ctx, cancel := context.WithCancel(ctx)
-	started := &remoteAgent{stop: cancel, target: target.ID(), agent: agent, since: now, planning: planFence}
+	started := &remoteAgent{stop: cancel, target: target.ID(), agent: agent, planning: planFence}
 	started.sidecar = sidecar.New(sidecar.Options{
 		Name: gateway.options.Name, Target: target.Address(), Service: target.Service(),
 		Engine: leasedEngine{gateway.options.NewEngine(target.Address()), gateway.planner.mayOrder},
 		Clock:  gateway.clock, Logs: gateway.options.Logs, Metrics: gateway.metrics,
 		Remote: &sidecar.Remote{
-			Key: target.Key(), Models: target.Models(), Send: gateway.peers.sendEach,
+			Key: target.Key(), Fence: started.fence.Load, Models: target.Models(), Send: gateway.peers.sendEach,
 			Publish: func(state *wire.TargetState, changed bool) { remoteAgents.publish(started, state, changed) },
 		},
 	})
@@ -196,24 +209,39 @@
 	}
 }
 
-// held returns the addresses of the engines to which this entry gives the orders.
+// held returns the addresses of the engines to which this entry gives the orders, or has given one
+// within orderPause.
 func (remoteAgents *remoteAgents) held() map[string]bool {
+	now := remoteAgents.gateway.clock.Now()
 	remoteAgents.mu.Lock()
 	defer remoteAgents.mu.Unlock()
 	held := map[string]bool{}
 	for address, remoteAgent := range remoteAgents.running {
-		held[address] = remoteAgent.fence != 0
+		held[address] = remoteAgent.holds(now)
 	}
 	return held
 }
 
+// holds reports whether orders are given to the engine, or one was given within orderPause. The caller
+// must hold mu of remoteAgents.
+func (remoteAgent *remoteAgent) holds(now time.Time) bool {
+	return remoteAgent.fence.Load() != 0 || now.Sub(remoteAgent.sidecar.OrderedAt()) <= orderPause
+}
+
 // publish passes the state of an engine to this entry, and to the others if it has changed or they
-// have not had it for a while.
+// have not had it for a while. It suspends the orders to an engine that does not answer.
 func (remoteAgents *remoteAgents) publish(remoteAgent *remoteAgent, state *wire.TargetState, changed bool) {
 	gateway := remoteAgents.gateway
 	now := gateway.clock.Now()
 	others := gateway.peers.addresses()
 	remoteAgents.mu.Lock()
+	switch {
+	case state.Unreachable:
+		remoteAgent.answering = time.Time{}
+		remoteAgent.fence.Store(0)
+	case remoteAgent.answering.IsZero():
+		remoteAgent.answering = now
+	}
 	interval := max(minRemoteInterval, time.Second*time.Duration(len(remoteAgents.running)*len(others))/remoteStateRate)
 	due := changed || now.Sub(remoteAgent.sentAt) >= interval
 	if due {
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -65,7 +65,7 @@
 			gateway := newIdleGateway(t, fake)
 			now := fake.Now()
 			agent := netip.MustParseAddrPort("10.0.0.1:2")
-			running := &remoteAgent{target: "i-1", agent: agent, since: now.Add(-waited)}
+			running := &remoteAgent{target: "i-1", agent: agent, answering: now.Add(-waited)}
 			if test.agent > 0 {
 				gateway.remoteAgents.recordMessage(agent.Addr(), 0, now.Add(-test.agent))
 			}
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+func TestPlannerGivesOrdersAsSoonAsEngineAndAgentAreReachableAgain(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	gateway := newIdleGateway(t, fake)
+	remoteAgents := gateway.remoteAgents
+	running := &remoteAgent{target: "i-1", agent: netip.MustParseAddrPort("10.0.0.1:2")}
+	publish := func(unreachable bool, after time.Duration) time.Time {
+		fake.Advance(after)
+		remoteAgents.publish(running, &wire.TargetState{Target: "i-1", Remote: true, Full: true, Unreachable: unreachable}, false)
+		return fake.Now()
+	}
+	mayTakeOver := func(renewedAt time.Time) bool { return remoteAgents.mayTakeOver(running, renewedAt, fake.Now()) }
+	remoteAgents.recordMessage(running.agent.Addr(), 0, fake.Now())
+	cutAt := publish(true, time.Second)
+	publish(true, 4*time.Second)
+	assert.Check(t, !mayTakeOver(cutAt.Add(time.Second)), "while the engine does not answer")
+	healedAt := publish(false, time.Second)
+	assert.Check(t, !mayTakeOver(healedAt), "before the agent can have answered a claim")
+	publish(false, agentTakeOverAfter)
+	assert.Check(t, !mayTakeOver(healedAt.Add(-time.Millisecond)), "with a fence from before the agent may have started")
+	assert.Check(t, mayTakeOver(healedAt.Add(time.Millisecond)))
+	running.fence.Store(7)
+	publish(true, time.Second)
+	assert.Equal(t, running.fence.Load(), uint64(0))
+}
--- a/kernel/sidecar/remote.go
+++ b/kernel/sidecar/remote.go
@@ -23,6 +23,7 @@
 // runs it in its own process while the target's own agent is silent.
 type Remote struct {
 	Key     directory.TargetKey
+	Fence   func() uint64                                          // for orders, 0 if none may be given
 	Models  []directory.ResidentModel                              // that the target holds by the list of targets
 	Publish func(state *wire.TargetState, changed bool)            // sends a full state to the entries, at once if it has changed
 	Send    func(addresses []netip.AddrPort, message wire.Message) // sends a result
@@ -56,7 +57,8 @@
 	return pause
 }
 
-// RunRemote polls the target and gives it orders until ctx ends. No order is given before SetFence.
+// RunRemote polls the target and gives it orders until ctx ends. No order is given
+// while Remote.Fence returns 0.
 func (sidecar *Sidecar) RunRemote(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return sidecar.control.Run(ctx) })
@@ -64,13 +66,11 @@
 	return group.Wait()
 }
 
-// SetFence sets the fence for orders; 0 ends the orders, and answers what is waiting.
-func (sidecar *Sidecar) SetFence(ctx context.Context, fence uint64) {
+// UpdateOrders gives the orders that are waiting once a fence for them is known, and answers what is
+// waiting once there is none any more.
+func (sidecar *Sidecar) UpdateOrders(ctx context.Context) {
 	sidecar.control.Post(func() {
-		if sidecar.fence == fence {
-			return
-		}
-		sidecar.fence = fence
+		fence := sidecar.options.Remote.Fence()
 		sidecar.log.Infof("orders to target %s carry fence %d", sidecar.targetID, fence)
 		if fence == 0 {
 			sidecar.controller.Abandon("the target's own agent gives the orders")
--- a/kernel/sidecar/right.go
+++ b/kernel/sidecar/right.go
@@ -13,8 +13,18 @@
 const maxPollPause = 600 * time.Millisecond
 
 // mayOrder reports whether the target may be given orders.
-func (sidecar *Sidecar) mayOrder() bool {
-	return sidecar.fence != 0 && (sidecar.options.Remote != nil || sidecar.right.Held(sidecar.options.Clock.Now()))
+func (sidecar *Sidecar) mayOrder() bool { return sidecar.orderFence() != 0 }
+
+// orderFence returns the fence for orders, 0 if none may be given.
+func (sidecar *Sidecar) orderFence() uint64 {
+	switch {
+	case sidecar.options.Remote != nil:
+		return sidecar.options.Remote.Fence()
+	case !sidecar.right.Held(sidecar.options.Clock.Now()):
+		return 0
+	default:
+		return sidecar.right.Fence(sidecar.fence)
+	}
 }
 
 // handleClaim handles the planner's claim of the orders, and answers with the target's state, by
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -262,7 +262,8 @@
 		}
 		sidecar.send(to, &wire.CommandResult{ID: result.ID, Done: result.Done, Reason: result.Reason})
 	}
-	if !sidecar.mayOrder() || sidecar.targetID == "" || sidecar.resting() {
+	fence := sidecar.orderFence()
+	if fence == 0 || sidecar.targetID == "" || sidecar.resting() {
 		return
 	}
 	order, ok := sidecar.controller.NextOrder(sidecar.options.Clock.Now())
@@ -273,7 +274,7 @@
 	if !ok {
 		return
 	}
-	order.Target, order.Holder, order.Fence = sidecar.targetID, sidecar.options.Name, sidecar.right.Fence(sidecar.fence)
+	order.Target, order.Holder, order.Fence = sidecar.targetID, sidecar.options.Name, fence
 	orderedAt := sidecar.options.Clock.Now()
 	sidecar.orderedAt.Store(&orderedAt)
 	go func() {
--- a/kernel/sidecar/sidecar_test.go
+++ b/kernel/sidecar/sidecar_test.go
@@ -377,6 +377,8 @@
 }
 
 // A target that answers with a refusal or with bytes that are no report may serve its requests.
+func noFence() uint64 { return 0 }
+
 func TestTargetThatAnswersWithoutReportCountsAsUnreachable(t *testing.T) {
 	for name, test := range map[string]struct {
 		err         error
@@ -390,7 +392,7 @@
 			published := []*wire.TargetState{}
 			sidecar := New(Options{
 				Name: "e", Target: "10.0.0.1:80", Engine: idleEngine{}, Clock: clock.NewFake(now), Logs: logs.Discard(), Metrics: metric.New(t.Name()),
-				Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Publish: func(state *wire.TargetState, _ bool) { published = append(published, state) }},
+				Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Fence: noFence, Publish: func(state *wire.TargetState, _ bool) { published = append(published, state) }},
 			})
 			sidecar.handleReport(directory.Report{}, "", test.err)
 			unreachable := len(published) > 0 && published[len(published)-1].Unreachable
@@ -412,7 +414,7 @@
 	} {
 		sidecar := New(Options{
 			Name: "e", Target: "10.0.0.1:80", Engine: idleEngine{}, Clock: clock.NewFake(time.Unix(100, 0)), Logs: logs.Discard(), Metrics: metric.New(t.Name() + name),
-			Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Publish: func(*wire.TargetState, bool) {}},
+			Remote: &Remote{Key: directory.TargetKey{ID: "i-1", StartedAt: 7}, Fence: noFence, Publish: func(*wire.TargetState, bool) {}},
 		})
 		sidecar.handleReport(test.report, "", test.err)
 		assert.Equal(t, sidecar.reportPause(), test.pause, name)
