Let agents wait after the claim of a planner that is lost

An agent that came back waited 1 s after the planner's last claim, or took a new planner's word that it gives no orders. The former planner may have given one right before it was lost, so two holders could take turns within LeaseMs: an agent thaws or starts, and the planner is killed or stopped in the 3 s after its last order.

A claim now lasts 3 s unless the planner that made it ends it, and a new planner claims for 3 s where a former one announced that it gives the orders, for agents that have started since.

TestAgentGivesOrdersRightAfterPlannerThatWasLost fails on in two of three cases, TestNewPlannerHandsOrdersBackThatFormerPlannerHasJustGiven too; both pass now. Ruled out: a longer wait at each start, which would delay the loads of a fleet that starts.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -225,7 +225,10 @@
 	now := peers.gateway.clock.Now()
 	state := peers.newState(true, now)
 	state.Leaving = leaving
-	held := peers.gateway.remoteAgents.held()
+	var held map[string]bool
+	if state.PlanFence != 0 {
+		held = peers.gateway.remoteAgents.held()
+	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if state.PlanFence != 0 {
--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -209,15 +209,17 @@
 	}
 }
 
-// held returns the addresses of the engines to which this entry gives the orders, or has given one
-// within orderPause.
+// held returns the addresses of the engines to which this entry, or a former planner, gives the orders
+// or has given one within orderPause.
 func (remoteAgents *remoteAgents) held() map[string]bool {
+	engines := remoteAgents.gateway.syncer.engineTargets()
 	now := remoteAgents.gateway.clock.Now()
 	remoteAgents.mu.Lock()
 	defer remoteAgents.mu.Unlock()
 	held := map[string]bool{}
-	for address, remoteAgent := range remoteAgents.running {
-		held[address] = remoteAgent.holds(now)
+	for _, target := range engines {
+		running := remoteAgents.running[target.Address()]
+		held[target.Address()] = running != nil && running.holds(now) || now.Sub(remoteAgents.holders[target.ID()]) <= orderPause
 	}
 	return held
 }
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/proptest"
 	"endiverill.example/kernel/wire"
@@ -101,3 +102,19 @@
 	publish(true, time.Second)
 	assert.Equal(t, running.fence.Load(), uint64(0))
 }
+
+func TestNewPlannerHandsOrdersBackThatFormerPlannerHasJustGiven(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	gateway := newIdleGateway(t, fake)
+	gateway.current.Store(directory.New(directory.Spec{Version: 1, Services: []*directory.Service{
+		directory.NewService(directory.ServiceSpec{Name: "llm", Engine: &directory.EngineSpec{}}),
+	}}))
+	const address = "10.0.0.1:80"
+	gateway.syncer.targets = []*directory.Target{directory.NewTarget(directory.TargetSpec{ID: "i-1", StartedAt: 1, Service: "llm", Address: address})}
+	assert.Assert(t, !gateway.remoteAgents.held()[address])
+	gateway.remoteAgents.recordHolder("i-1", fake.Now())
+	fake.Advance(orderPause)
+	assert.Assert(t, gateway.remoteAgents.held()[address])
+	fake.Advance(time.Millisecond)
+	assert.Assert(t, !gateway.remoteAgents.held()[address])
+}
--- a/kernel/orders/right.go
+++ b/kernel/orders/right.go
@@ -6,6 +6,10 @@
 // has not been told so. A planner repeats its claim four times within it.
 const claimTimeout = time.Second
 
+// claimPause is how long an agent gives no orders after a claim, unless the planner that made it says
+// that it gives none: it may have given one right before it was lost.
+const claimPause = 3 * time.Second
+
 // maxUnreadRelease is how long a message that the planner gives no orders may have lain unread: the
 // agent may not have run since, and the planner may have taken the orders over.
 const maxUnreadRelease = 100 * time.Millisecond
@@ -13,11 +17,12 @@
 // Right is the right of the agent beside a target to give the target orders. The planner takes the
 // orders over from an agent that it does not hear from, and claims them by messages to the agent.
 // An agent that starts, or did not run for a while, gives none until the planner says that it does
-// not claim them or claimTimeout has passed.
+// not claim them or claimTimeout has passed. A claim lasts for claimPause.
 type Right struct {
-	notBefore time.Time // earliest time for orders
-	planFence uint64    // highest fence of the planners that have claimed the orders
-	fence     uint64    // highest fence of their orders
+	notBefore    time.Time // earliest time for orders, if no planner claims them
+	claimedUntil time.Time // until when the last claim lasts
+	planFence    uint64    // highest fence of the planners that have claimed the orders
+	fence        uint64    // highest fence of their orders
 }
 
 // NewRight returns the right of an agent that starts at now.
@@ -29,19 +34,28 @@
 // Claim records that the planner gives the orders, with a fence above all earlier ones.
 func (right *Right) Claim(planFence, fence uint64, now time.Time) {
 	right.planFence, right.fence = max(right.planFence, planFence), max(right.fence, fence)
-	right.notBefore = now.Add(claimTimeout)
+	right.claimedUntil = now.Add(claimPause)
 }
 
 // Release records that the planner does not give the orders, by a message that lay unread for a
-// while, unless a later planner has claimed them.
+// while, unless a later planner has claimed them. The claim of an earlier one lasts: only that planner
+// knows when it gave its last order.
 func (right *Right) Release(planFence uint64, unread time.Duration, now time.Time) {
-	if planFence >= right.planFence && unread <= maxUnreadRelease && now.Before(right.notBefore) {
+	if planFence < right.planFence || unread > maxUnreadRelease {
+		return
+	}
+	if now.Before(right.notBefore) {
 		right.notBefore = now
 	}
+	if planFence == right.planFence && now.Before(right.claimedUntil) {
+		right.claimedUntil = now
+	}
 }
 
 // Held reports whether the agent may give orders.
-func (right *Right) Held(now time.Time) bool { return !now.Before(right.notBefore) }
+func (right *Right) Held(now time.Time) bool {
+	return !now.Before(right.notBefore) && !now.Before(right.claimedUntil)
+}
 
 // Fence returns the fence for the agent's orders, given that of its start: it is higher than those
 // of all planners that have claimed the orders.
--- a/kernel/orders/right_test.go
+++ b/kernel/orders/right_test.go
@@ -168,3 +168,26 @@
 	right.Release(4, 0, begin)
 	assert.Assert(t, right.Held(begin))
 }
+
+func TestAgentGivesOrdersRightAfterPlannerThatWasLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		released time.Duration // when a planner says that it gives no orders, 0 for never
+		by       uint64
+		heldFrom time.Duration
+	}{
+		"planner is lost":         {0, 0, rightTakeTurns},
+		"planner ends its orders": {time.Second, 4, time.Second},
+		"new planner knows none":  {time.Second, 5, rightTakeTurns},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin := time.Unix(1000, 0)
+			right := NewRight(begin.Add(-time.Hour))
+			right.Claim(4, 40, begin)
+			if test.released != 0 {
+				right.Release(test.by, 0, begin.Add(test.released))
+			}
+			assert.Check(t, !right.Held(begin.Add(test.heldFrom-time.Millisecond)))
+			assert.Check(t, right.Held(begin.Add(test.heldFrom)))
+		})
+	}
+}
