Leave 3 s between holders of orders through cuts, losses and restarts

Cause: the waits were those between two orders, without the time in which one side may order unheard. Now the silence of the holder lasts 4 s, the engine answers for 3.4 s (1.2 s after a planner that announced itself and whose agent has not been heard since), an agent waits 4 s after its start, a pause of 2 s or a claim, unless told otherwise; a planner that waits says neither. Orders survive an outage of the engine of 1 s. Engines whose agent was never heard are asked after 1 s instead of 2.5 s.

"Both have been silent for 3 s" in TestNewPlanner... became stricter (4 s). Ruled out: leaving the waits and relying on the 300 ms in which orders after a cut do not count, which losses outlast.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -225,9 +225,9 @@
 	now := peers.gateway.clock.Now()
 	state := peers.newState(true, now)
 	state.Leaving = leaving
-	var held map[string]bool
+	var holders map[string]orderHolder
 	if state.PlanFence != 0 {
-		held = peers.gateway.remoteAgents.held()
+		holders = peers.gateway.remoteAgents.orderHolders()
 	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
@@ -259,7 +259,7 @@
 	}
 	// First, since a link that is full of the others drops what is sent after them.
 	subscription := *state
-	peers.subscribe(&subscription, held)
+	peers.subscribe(&subscription, holders)
 	for needs, addresses := range receivers {
 		message := *state
 		if !needs.demand {
@@ -274,16 +274,22 @@
 
 // subscribe sends the state to the agents of engines, with the adapters that this
 // entry has used at each target since the last round. Agents that receive it send
-// their own state to this entry. Held are the addresses of the targets to which this
-// entry itself gives the orders. The message state is modified. The caller must hold mu.
-func (peers *peers) subscribe(state *wire.EntryState, held map[string]bool) {
+// their own state to this entry. Holders are who may give the targets orders, by address, if this
+// entry plans. The message state is modified. The caller must hold mu.
+func (peers *peers) subscribe(state *wire.EntryState, holders map[string]orderHolder) {
+	planFence := state.PlanFence
 	state.Spent, state.Refunds, state.RefundAges, state.RateLeft, state.Demand, state.Entries, state.Suspects, state.Limits, state.Broken, state.Admitted = nil, nil, nil, nil, nil, nil, nil, nil, nil, nil
 	for _, target := range peers.gateway.syncer.engineTargets() {
 		address, err := peers.agentAddress(target)
 		if err != nil {
 			continue // the listed host is not an IP address; loadAdapter and execute log the error
 		}
-		state.UsedAdapters, state.InventoryVersion, state.HoldsOrders = state.UsedAdapters[:0], 0, held[target.Address()]
+		holder := holders[target.Address()]
+		state.PlanFence, state.HoldsOrders = planFence, holder == plannerHolds
+		if holder == holderUnknown {
+			state.PlanFence = 0 // neither claims the orders nor leaves them to the agent
+		}
+		state.UsedAdapters, state.InventoryVersion = state.UsedAdapters[:0], 0
 		for use := range peers.usedAdapters[target.Key()] {
 			state.UsedAdapters = append(state.UsedAdapters, use)
 		}
--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -15,15 +15,18 @@
 )
 
 const (
-	agentObserveAfter  = 400 * time.Millisecond  // silence of an agent after which the planner asks its target; longer if its messages are further apart
-	agentStartTime     = 2500 * time.Millisecond // an agent may be starting for that long before its first message
-	agentTakeOverAfter = 1200 * time.Millisecond // for which an engine answers while its agent answers no claim, until the first order; agents suspend their orders after half of it
-	orderPause         = 3 * time.Second         // at least, between orders of an agent and of the planner: holders may not take turns within it
-	messageRetention   = 30 * time.Second        // after which it makes no difference whether an agent ever sent a message
-	orderMargin        = 500 * time.Millisecond  // for which the planner's lease must last beyond the sending of an order
-	remoteStateRate    = 600                     // state messages a second that the planner sends to other entries beside changes
-	claimInterval      = 200 * time.Millisecond  // between two claims to one agent, at least
-	minRemoteInterval  = 500 * time.Millisecond  // between two state messages of a target without a change
+	agentObserveAfter  = 400 * time.Millisecond   // silence of an agent after which the planner asks its target; longer if its messages are further apart
+	agentStartTime     = time.Second              // an agent may be starting for that long before its first message
+	agentTakeOverAfter = 1200 * time.Millisecond  // for which an engine answers while its agent answers no claim, until the first order in place of a former planner; agents suspend their orders after half of it
+	orderPause         = 3 * time.Second          // at least, between orders of an agent and of the planner: holders may not take turns within it
+	maxOutage          = time.Second              // for which an engine may not answer while the planner keeps its orders; an agent that starts meanwhile gives none for longer
+	holderSilence      = orderPause + time.Second // of an agent or a former planner before the first order: it may give orders while a cut too short for notice, or losses, keep its messages back
+	formerHolderTime   = 10 * time.Second         // in which a planner takes over from the one before it
+	messageRetention   = 30 * time.Second         // after which it makes no difference whether an agent ever sent a message
+	orderMargin        = 500 * time.Millisecond   // for which the planner's lease must last beyond the sending of an order
+	remoteStateRate    = 600                      // state messages a second that the planner sends to other entries beside changes
+	claimInterval      = 200 * time.Millisecond   // between two claims to one agent, at least
+	minRemoteInterval  = 500 * time.Millisecond   // between two state messages of a target without a change
 )
 
 // remoteAgents are the agents that this entry runs, while it plans for the fleet, for engines whose
@@ -32,12 +35,12 @@
 // agent alone. The planner first asks the engine for reports, which shows all entries whether it
 // stands still too, and then takes the orders over. It hands them back once the agent sends messages again.
 type remoteAgents struct {
-	gateway  *Gateway
-	mu       sync.Mutex                  // guards the fields below
-	running  map[string]*remoteAgent     // by address of the engine
-	listed   map[string]time.Time        // when this entry first saw the engine, by address
-	messages map[netip.Addr]agentMessage // last of each agent, by host
-	holders  map[string]time.Time        // when another entry last announced that it may give a target orders, by ID
+	gateway   *Gateway
+	mu        sync.Mutex                  // guards the fields below
+	running   map[string]*remoteAgent     // by address of the engine
+	listed    map[string]time.Time        // when this entry first saw the engine, by address
+	messages  map[netip.Addr]agentMessage // last of each agent, by host
+	announced map[string]time.Time        // when another entry last announced that it may give a target orders, by ID
 }
 
 // agentMessage is the time of an agent's last message.
@@ -52,7 +55,8 @@
 	stop      context.CancelFunc
 	target    string         // ID of the engine in the list
 	agent     netip.AddrPort // address of the engine's own agent
-	answering time.Time      // since when the engine has answered each request for a report, zero if it does not
+	answering time.Time      // since when the engine has answered, but for maxOutage      at a time; zero if it does not
+	lostAt    time.Time      // since when it has not answered, zero if it does
 	fence     atomic.Uint64  // of the orders, 0 if none may be given; changed while mu of remoteAgents is held
 	lastFence uint64         // highest fence of any order
 	ended     bool           // no order is given any more, since its own agent is back
@@ -63,7 +67,7 @@
 }
 
 func newRemoteAgents(gateway *Gateway) *remoteAgents {
-	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, messages: map[netip.Addr]agentMessage{}, holders: map[string]time.Time{}}
+	return &remoteAgents{gateway: gateway, running: map[string]*remoteAgent{}, listed: map[string]time.Time{}, messages: map[netip.Addr]agentMessage{}, announced: map[string]time.Time{}}
 }
 
 // recordMessage records a message of the agent on a host.
@@ -79,7 +83,7 @@
 func (remoteAgents *remoteAgents) recordHolder(target string, at time.Time) {
 	remoteAgents.mu.Lock()
 	defer remoteAgents.mu.Unlock()
-	remoteAgents.holders[target] = at
+	remoteAgents.announced[target] = at
 }
 
 // update starts, continues and ends the agents that this entry runs. PlanFence is the fence of this
@@ -103,7 +107,7 @@
 		}
 	}
 	maps.DeleteFunc(remoteAgents.messages, func(_ netip.Addr, last agentMessage) bool { return now.Sub(last.at) > messageRetention })
-	maps.DeleteFunc(remoteAgents.holders, func(_ string, last time.Time) bool { return now.Sub(last) > messageRetention })
+	maps.DeleteFunc(remoteAgents.announced, func(_ string, last time.Time) bool { return now.Sub(last) > messageRetention })
 	maps.DeleteFunc(remoteAgents.listed, func(address string, _ time.Time) bool { return !addresses[address] })
 	for address, remoteAgent := range remoteAgents.running {
 		if planFence != remoteAgent.planning || !addresses[address] || remoteAgent.ended && now.Sub(remoteAgent.sidecar.OrderedAt()) > orderPause {
@@ -137,14 +141,21 @@
 }
 
 // mayTakeOver reports whether this entry may begin to give orders in place of a silent agent, or of a
-// former planner. An agent is known to be silent only while its engine answers: both may be cut off
-// from this entry. An agent that has given orders started before the engine answered, and so before a
-// renewal of the planner's lease that was sent afterwards. The caller must hold mu.
+// former planner, whose claims an agent would have answered. An agent is known to be silent
+// only while its engine answers: both may be cut off from this entry. An agent that has given orders
+// started before the engine answered, and so before a renewal of the planner's lease that was sent
+// afterwards. The caller must hold mu.
 func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
-	last := remoteAgents.messages[remoteAgent.agent.Addr()].at
-	return remoteAgent.fence.Load() == 0 && !remoteAgent.ended && !remoteAgent.answering.IsZero() && renewedAt.After(remoteAgent.answering) &&
-		now.Sub(remoteAgent.answering) >= agentTakeOverAfter && remoteAgents.gateway.silence(last, now) >= orderPause &&
-		now.Sub(remoteAgents.holders[remoteAgent.target]) >= orderPause
+	if remoteAgent.fence.Load() != 0 || remoteAgent.ended || remoteAgent.answering.IsZero() || !renewedAt.After(remoteAgent.answering) {
+		return false
+	}
+	message := remoteAgents.messages[remoteAgent.agent.Addr()].at
+	announcement := remoteAgents.announced[remoteAgent.target]
+	observed := orderPause + agentObserveAfter
+	if now.Sub(announcement) <= formerHolderTime && announcement.After(message) {
+		observed = agentTakeOverAfter
+	}
+	return now.Sub(remoteAgent.answering) >= observed && remoteAgents.gateway.silence(message, now) >= holderSilence && now.Sub(announcement) >= holderSilence
 }
 
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
@@ -209,19 +220,33 @@
 	}
 }
 
-// held returns the addresses of the engines to which this entry, or a former planner, gives the orders
-// or has given one within orderPause.
-func (remoteAgents *remoteAgents) held() map[string]bool {
+// orderHolder is who may give a target orders, as far as the planner tells the target's agent.
+type orderHolder int
+
+const (
+	agentHolds orderHolder = iota
+	holderUnknown
+	plannerHolds
+)
+
+// orderHolders returns who may give the engines orders, by address: a planner that gives them or has
+// given one within orderPause, nobody for certain while this entry waits to take them over, else the agent.
+func (remoteAgents *remoteAgents) orderHolders() map[string]orderHolder {
 	engines := remoteAgents.gateway.syncer.engineTargets()
 	now := remoteAgents.gateway.clock.Now()
 	remoteAgents.mu.Lock()
 	defer remoteAgents.mu.Unlock()
-	held := map[string]bool{}
+	holders := map[string]orderHolder{}
 	for _, target := range engines {
 		running := remoteAgents.running[target.Address()]
-		held[target.Address()] = running != nil && running.holds(now) || now.Sub(remoteAgents.holders[target.ID()]) <= orderPause
+		switch {
+		case running != nil && running.holds(now), now.Sub(remoteAgents.announced[target.ID()]) <= orderPause:
+			holders[target.Address()] = plannerHolds
+		case running != nil && !running.ended:
+			holders[target.Address()] = holderUnknown
+		}
 	}
-	return held
+	return holders
 }
 
 // holds reports whether orders are given to the engine, or one was given within orderPause. The caller
@@ -230,20 +255,34 @@
 	return remoteAgent.fence.Load() != 0 || now.Sub(remoteAgent.sidecar.OrderedAt()) <= orderPause
 }
 
+// recordAnswer records whether the engine has answered. The caller must hold mu of remoteAgents.
+func (remoteAgent *remoteAgent) recordAnswer(answered bool, now time.Time) {
+	if !remoteAgent.lostAt.IsZero() && now.Sub(remoteAgent.lostAt) > maxOutage {
+		remoteAgent.answering = time.Time{}
+		remoteAgent.fence.Store(0)
+	}
+	switch {
+	case !answered && remoteAgent.lostAt.IsZero():
+		remoteAgent.lostAt = now
+		if remoteAgent.fence.Load() == 0 {
+			remoteAgent.answering = time.Time{}
+		}
+	case answered:
+		remoteAgent.lostAt = time.Time{}
+		if remoteAgent.answering.IsZero() {
+			remoteAgent.answering = now
+		}
+	}
+}
+
 // publish passes the state of an engine to this entry, and to the others if it has changed or they
-// have not had it for a while. It suspends the orders to an engine that does not answer.
+// have not had it for a while.
 func (remoteAgents *remoteAgents) publish(remoteAgent *remoteAgent, state *wire.TargetState, changed bool) {
 	gateway := remoteAgents.gateway
 	now := gateway.clock.Now()
 	others := gateway.peers.addresses()
 	remoteAgents.mu.Lock()
-	switch {
-	case state.Unreachable:
-		remoteAgent.answering = time.Time{}
-		remoteAgent.fence.Store(0)
-	case remoteAgent.answering.IsZero():
-		remoteAgent.answering = now
-	}
+	remoteAgent.recordAnswer(!state.Unreachable, now)
 	interval := max(minRemoteInterval, time.Second*time.Duration(len(remoteAgents.running)*len(others))/remoteStateRate)
 	due := changed || now.Sub(remoteAgent.sentAt) >= interval
 	if due {
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -11,6 +11,7 @@
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/lease"
 	"endiverill.example/kernel/proptest"
+	"endiverill.example/kernel/sidecar"
 	"endiverill.example/kernel/wire"
 )
 
@@ -51,22 +52,23 @@
 }
 
 func TestNewPlannerGivesOrdersRightAfterFormerHolder(t *testing.T) {
-	const waited = 2 * time.Second
+	const waited, observed = 2 * time.Second, orderPause + agentObserveAfter
 	for name, test := range map[string]struct {
 		agent, planner time.Duration // since the last message of the agent, and of another planner; 0 for none
 		takesOver      bool
 	}{
-		"no messages":                   {0, 0, true},
-		"a message of the agent":        {waited, 0, false},
-		"a message of a planner":        {0, waited, false},
-		"both have been silent for 3 s": {orderPause, orderPause, true},
+		"no messages":                {0, 0, true},
+		"a message of the agent":     {waited, 0, false},
+		"a message of a planner":     {0, waited, false},
+		"silence of one order pause": {orderPause, orderPause, false},
+		"both have been silent":      {holderSilence, holderSilence, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fake := clock.NewFake(time.Unix(1000, 0))
 			gateway := newIdleGateway(t, fake)
 			now := fake.Now()
 			agent := netip.MustParseAddrPort("10.0.0.1:2")
-			running := &remoteAgent{target: "i-1", agent: agent, answering: now.Add(-waited)}
+			running := &remoteAgent{target: "i-1", agent: agent, answering: now.Add(-observed)}
 			if test.agent > 0 {
 				gateway.remoteAgents.recordMessage(agent.Addr(), 0, now.Add(-test.agent))
 			}
@@ -95,26 +97,70 @@
 	assert.Check(t, !mayTakeOver(cutAt.Add(time.Second)), "while the engine does not answer")
 	healedAt := publish(false, time.Second)
 	assert.Check(t, !mayTakeOver(healedAt), "before the agent can have answered a claim")
-	publish(false, agentTakeOverAfter)
+	publish(false, orderPause)
+	assert.Check(t, !mayTakeOver(healedAt.Add(time.Millisecond)), "right after an agent that stood still as the cut healed")
+	publish(false, agentObserveAfter)
 	assert.Check(t, !mayTakeOver(healedAt.Add(-time.Millisecond)), "with a fence from before the agent may have started")
 	assert.Check(t, mayTakeOver(healedAt.Add(time.Millisecond)))
-	running.fence.Store(7)
-	publish(true, time.Second)
-	assert.Equal(t, running.fence.Load(), uint64(0))
 }
 
-func TestNewPlannerHandsOrdersBackThatFormerPlannerHasJustGiven(t *testing.T) {
-	fake := clock.NewFake(time.Unix(1000, 0))
-	gateway := newIdleGateway(t, fake)
+func TestOrdersGoOnToEngineThatWasNotReachableForLong(t *testing.T) {
+	for name, test := range map[string]struct {
+		lost  []time.Duration // between answers
+		holds bool
+	}{
+		"short":       {[]time.Duration{maxOutage}, true},
+		"short twice": {[]time.Duration{maxOutage, maxOutage}, true},
+		"long":        {[]time.Duration{maxOutage + time.Millisecond}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			running := &remoteAgent{}
+			running.recordAnswer(true, now)
+			running.fence.Store(7)
+			for _, lost := range test.lost {
+				running.recordAnswer(false, now)
+				now = now.Add(lost)
+				running.recordAnswer(true, now)
+			}
+			assert.Equal(t, running.fence.Load() != 0, test.holds)
+			assert.Equal(t, running.answering.Equal(now), !test.holds)
+		})
+	}
+}
+
+// newGatewayWithEngine returns a gateway whose list of targets has one engine.
+func newGatewayWithEngine(t *testing.T, now clock.Clock) *Gateway {
+	t.Helper()
+	gateway := newIdleGateway(t, now)
 	gateway.current.Store(directory.New(directory.Spec{Version: 1, Services: []*directory.Service{
 		directory.NewService(directory.ServiceSpec{Name: "llm", Engine: &directory.EngineSpec{}}),
 	}}))
-	const address = "10.0.0.1:80"
-	gateway.syncer.targets = []*directory.Target{directory.NewTarget(directory.TargetSpec{ID: "i-1", StartedAt: 1, Service: "llm", Address: address})}
-	assert.Assert(t, !gateway.remoteAgents.held()[address])
+	gateway.syncer.targets = []*directory.Target{directory.NewTarget(directory.TargetSpec{ID: "i-1", StartedAt: 1, Service: "llm", Address: "10.0.0.1:80"})}
+	return gateway
+}
+
+func TestNewPlannerHandsOrdersBackThatFormerPlannerHasJustGiven(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	gateway := newGatewayWithEngine(t, fake)
+	holder := func() orderHolder { return gateway.remoteAgents.orderHolders()["10.0.0.1:80"] }
+	assert.Equal(t, holder(), agentHolds)
 	gateway.remoteAgents.recordHolder("i-1", fake.Now())
 	fake.Advance(orderPause)
-	assert.Assert(t, gateway.remoteAgents.held()[address])
+	assert.Equal(t, holder(), plannerHolds)
 	fake.Advance(time.Millisecond)
-	assert.Assert(t, !gateway.remoteAgents.held()[address])
+	assert.Equal(t, holder(), agentHolds)
+}
+
+func TestPlannerLeavesOrdersToAgentRightBeforeItTakesThemOver(t *testing.T) {
+	gateway := newGatewayWithEngine(t, clock.NewFake(time.Unix(1000, 0)))
+	running := &remoteAgent{sidecar: sidecar.New(sidecar.Options{Metrics: gateway.metrics, Logs: gateway.options.Logs, Clock: gateway.clock})}
+	gateway.remoteAgents.running["10.0.0.1:80"] = running
+	holder := func() orderHolder { return gateway.remoteAgents.orderHolders()["10.0.0.1:80"] }
+	assert.Equal(t, holder(), holderUnknown)
+	running.fence.Store(7)
+	assert.Equal(t, holder(), plannerHolds)
+	running.ended = true
+	running.fence.Store(0)
+	assert.Equal(t, holder(), agentHolds)
 }
--- a/kernel/orders/right.go
+++ b/kernel/orders/right.go
@@ -2,13 +2,17 @@
 
 import "time"
 
-// claimTimeout is how long no planner may have claimed the orders before an agent gives them that
-// has not been told so. A planner repeats its claim four times within it.
+// claimTimeout is how long no planner may have claimed the orders before an agent gives them that did
+// not run for less than takeOverPause. A planner repeats its claim four times within it.
 const claimTimeout = time.Second
 
-// claimPause is how long an agent gives no orders after a claim, unless the planner that made it says
-// that it gives none: it may have given one right before it was lost.
-const claimPause = 3 * time.Second
+// takeOverPause is how long an agent may not run without a planner taking its orders over.
+const takeOverPause = 2 * time.Second
+
+// claimPause is how long an agent gives no orders after its start, a longer pause, or a claim, unless the planner
+// says that it gives none: a planner may have given one right before it was lost. Holders may not take
+// turns within 3 s, and a planner hears an agent within 1 s.
+const claimPause = 4 * time.Second
 
 // maxUnreadRelease is how long a message that the planner gives no orders may have lain unread: the
 // agent may not have run since, and the planner may have taken the orders over.
@@ -17,7 +21,7 @@
 // Right is the right of the agent beside a target to give the target orders. The planner takes the
 // orders over from an agent that it does not hear from, and claims them by messages to the agent.
 // An agent that starts, or did not run for a while, gives none until the planner says that it does
-// not claim them or claimTimeout has passed. A claim lasts for claimPause.
+// not claim them or a while has passed.
 type Right struct {
 	notBefore    time.Time // earliest time for orders, if no planner claims them
 	claimedUntil time.Time // until when the last claim lasts
@@ -26,10 +30,18 @@
 }
 
 // NewRight returns the right of an agent that starts at now.
-func NewRight(now time.Time) *Right { return &Right{notBefore: now.Add(claimTimeout)} }
+func NewRight(now time.Time) *Right { return &Right{notBefore: now.Add(claimPause)} }
 
 // Suspend records that the agent did not run for a while, so that the orders may have been taken over.
-func (right *Right) Suspend(now time.Time) { right.notBefore = now.Add(claimTimeout) }
+func (right *Right) Suspend(pause time.Duration, now time.Time) {
+	wait := claimTimeout
+	if pause >= takeOverPause {
+		wait = claimPause
+	}
+	if notBefore := now.Add(wait); notBefore.After(right.notBefore) {
+		right.notBefore = notBefore
+	}
+}
 
 // Claim records that the planner gives the orders, with a fence above all earlier ones.
 func (right *Right) Claim(planFence, fence uint64, now time.Time) {
--- a/kernel/sidecar/right.go
+++ b/kernel/sidecar/right.go
@@ -47,9 +47,10 @@
 func (sidecar *Sidecar) recordPause() {
 	now, last := sidecar.options.Clock.Now(), sidecar.polledAt
 	sidecar.polledAt = now
-	if last.IsZero() || clock.Elapsed(last, now) < maxPollPause {
+	pause := clock.Elapsed(last, now)
+	if last.IsZero() || pause < maxPollPause {
 		return
 	}
-	sidecar.log.Infof("the agent did not run for %v, or the time of day was set; it gives no orders until it knows that the planner gives none", now.Sub(last))
-	sidecar.right.Suspend(now)
+	sidecar.log.Infof("the agent did not run for %v, or the time of day was set; it gives no orders until it knows that the planner gives none", pause)
+	sidecar.right.Suspend(pause, now)
 }
