Name the waits before orders are taken over

Names and comments only: takeOverTime and successionTime say which planner waits, the comments fit the lines.

--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -15,18 +15,19 @@
 )
 
 const (
-	agentObserveAfter  = 400 * time.Millisecond   // silence of an agent after which the planner asks its target; longer if its messages are further apart
-	agentStartTime     = time.Second              // an agent may be starting for that long before its first message
-	agentTakeOverAfter = 1200 * time.Millisecond  // for which an engine answers while its agent answers no claim, until the first order in place of a former planner; agents suspend their orders after half of it
-	orderPause         = 3 * time.Second          // at least, between orders of an agent and of the planner: holders may not take turns within it
-	maxOutage          = time.Second              // for which an engine may not answer while the planner keeps its orders; an agent that starts meanwhile gives none for longer
-	holderSilence      = orderPause + time.Second // of an agent or a former planner before the first order: it may give orders while a cut too short for notice, or losses, keep its messages back
-	formerHolderTime   = 10 * time.Second         // in which a planner takes over from the one before it
-	messageRetention   = 30 * time.Second         // after which it makes no difference whether an agent ever sent a message
-	orderMargin        = 500 * time.Millisecond   // for which the planner's lease must last beyond the sending of an order
-	remoteStateRate    = 600                      // state messages a second that the planner sends to other entries beside changes
-	claimInterval      = 200 * time.Millisecond   // between two claims to one agent, at least
-	minRemoteInterval  = 500 * time.Millisecond   // between two state messages of a target without a change
+	agentObserveAfter = 400 * time.Millisecond         // silence of an agent after which the planner asks its target; longer if its messages are further apart
+	agentStartTime    = time.Second                    // an agent may be starting for that long before its first message
+	orderPause        = 3 * time.Second                // at least, between orders of an agent and of the planner: holders may not take turns within it
+	takeOverTime      = orderPause + agentObserveAfter // for which an engine answers while its agent answers no claim, until the first order
+	successionTime    = 1200 * time.Millisecond        // the same for a planner that follows another one
+	maxOutage         = time.Second                    // for which an engine may not answer while the planner keeps its orders; an agent that starts meanwhile gives none for longer
+	holderSilence     = orderPause + time.Second       // of an agent or a former planner before the first order: it may give orders while a cut too short for notice, or losses, keep its messages back
+	formerHolderTime  = 10 * time.Second               // in which a planner takes over from the one before it
+	messageRetention  = 30 * time.Second               // after which it makes no difference whether an agent ever sent a message
+	orderMargin       = 500 * time.Millisecond         // for which the planner's lease must last beyond the sending of an order
+	remoteStateRate   = 600                            // state messages a second that the planner sends to other entries beside changes
+	claimInterval     = 200 * time.Millisecond         // between two claims to one agent, at least
+	minRemoteInterval = 500 * time.Millisecond         // between two state messages of a target without a change
 )
 
 // remoteAgents are the agents that this entry runs, while it plans for the fleet, for engines whose
@@ -141,25 +142,25 @@
 }
 
 // mayTakeOver reports whether this entry may begin to give orders in place of a silent agent, or of a
-// former planner, whose claims an agent would have answered. An agent is known to be silent
-// only while its engine answers: both may be cut off from this entry. An agent that has given orders
-// started before the engine answered, and so before a renewal of the planner's lease that was sent
-// afterwards. The caller must hold mu.
+// former planner, whose claims an agent would have answered. An agent is known to be silent only while
+// its engine answers: both may be cut off from this entry. An agent that has given orders started
+// before the engine answered, and so before a renewal of the planner's lease that was sent afterwards.
+// The caller must hold mu.
 func (remoteAgents *remoteAgents) mayTakeOver(remoteAgent *remoteAgent, renewedAt, now time.Time) bool {
 	if remoteAgent.fence.Load() != 0 || remoteAgent.ended || remoteAgent.answering.IsZero() || !renewedAt.After(remoteAgent.answering) {
 		return false
 	}
 	message := remoteAgents.messages[remoteAgent.agent.Addr()].at
 	announcement := remoteAgents.announced[remoteAgent.target]
-	observed := orderPause + agentObserveAfter
+	observed := takeOverTime
 	if now.Sub(announcement) <= formerHolderTime && announcement.After(message) {
-		observed = agentTakeOverAfter
+		observed = successionTime
 	}
 	return now.Sub(remoteAgent.answering) >= observed && remoteAgents.gateway.silence(message, now) >= holderSilence && now.Sub(announcement) >= holderSilence
 }
 
 // updateTarget starts an agent for an engine whose own one is silent, and ends its orders once that
-// sends messages again, of which it reports whether it did. The caller must hold mu.
+// sends messages again. It reports whether it ended them. The caller must hold mu.
 func (remoteAgents *remoteAgents) updateTarget(ctx context.Context, target *directory.Target, planFence uint64, now time.Time) (ended bool) {
 	gateway := remoteAgents.gateway
 	agent, err := gateway.peers.agentAddress(target)
--- a/entry/gateway/remoteagents_test.go
+++ b/entry/gateway/remoteagents_test.go
@@ -52,7 +52,7 @@
 }
 
 func TestNewPlannerGivesOrdersRightAfterFormerHolder(t *testing.T) {
-	const waited, observed = 2 * time.Second, orderPause + agentObserveAfter
+	const waited, observed = 2 * time.Second, takeOverTime
 	for name, test := range map[string]struct {
 		agent, planner time.Duration // since the last message of the agent, and of another planner; 0 for none
 		takesOver      bool
--- a/kernel/orders/right.go
+++ b/kernel/orders/right.go
@@ -6,12 +6,12 @@
 // not run for less than takeOverPause. A planner repeats its claim four times within it.
 const claimTimeout = time.Second
 
-// takeOverPause is how long an agent may not run without a planner taking its orders over.
+// takeOverPause is how long an agent may stand still without a planner taking its orders over.
 const takeOverPause = 2 * time.Second
 
-// claimPause is how long an agent gives no orders after its start, a longer pause, or a claim, unless the planner
-// says that it gives none: a planner may have given one right before it was lost. Holders may not take
-// turns within 3 s, and a planner hears an agent within 1 s.
+// claimPause is how long an agent gives no orders after its start, after a longer pause or after a
+// claim, unless the planner says that it gives none: a planner may have given one right before it was
+// lost. Holders may not take turns within 3 s, and a planner hears an agent within 1 s.
 const claimPause = 4 * time.Second
 
 // maxUnreadRelease is how long a message that the planner gives no orders may have lain unread: the
@@ -23,7 +23,7 @@
 // An agent that starts, or did not run for a while, gives none until the planner says that it does
 // not claim them or a while has passed.
 type Right struct {
-	notBefore    time.Time // earliest time for orders, if no planner claims them
+	notBefore    time.Time // earliest time for orders after a start or a pause
 	claimedUntil time.Time // until when the last claim lasts
 	planFence    uint64    // highest fence of the planners that have claimed the orders
 	fence        uint64    // highest fence of their orders
