--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -162,8 +162,8 @@
 }
 
 // origin returns the origin of a stream, from this entry's records or those of other
-// entries. An entry that has just started knows few other ones and has perhaps
-// not read the store, so it waits for a while.
+// entries. An entry that has just started knows few other ones and may not
+// have read the store yet, so it waits for a while.
 func (origins *origins) origin(ctx context.Context, id stream.ID) (origin stream.Origin, known bool) {
 	gateway := origins.gateway
 	for {
--- a/entry/gateway/remoteagents.go
+++ b/entry/gateway/remoteagents.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// orderHolder is who may give a target orders, as far as the planner tells the target's agent.
+// orderHolder is who may give a target orders, as the planner states it to the target's agent.
 type orderHolder int
 
 const (
--- a/entry/gateway/silence.go
+++ b/entry/gateway/silence.go
@@ -119,7 +119,7 @@
 }
 
 // hasAdvanced reports whether unread bytes of a target have arrived since the last call. What was
-// unread then says nothing new: a caller may take no bytes for a long time. The caller must hold
+// unread then is not counted: a caller may take no bytes for a long time. The caller must hold
 // gateway.mu.
 func (gateway *Gateway) hasAdvanced(key directory.TargetKey) bool {
 	advanced := false
--- a/entry/gateway/targetwatch.go
+++ b/entry/gateway/targetwatch.go
@@ -23,20 +23,20 @@
 	watchDialTimeout  = 700 * time.Millisecond
 	watchRetry        = 200 * time.Millisecond // until a target is dialled again that could not be reached or has closed the connection
 	maxWatchedTargets = 256                    // by one entry
-	maxEndsTold       = 32                     // to all other entries within a second; state messages tell the others
+	maxEndsSent       = 32                     // to all other entries within a second; state messages report the rest
 )
 
 // targetWatch keeps a connection open to targets of services at which several software versions
-// are listed. A target that starts anew under its ID, perhaps at another version, closes it.
+// are listed. A target that starts anew under its ID, possibly at another version, closes it.
 // Without it, no entry notices that of a target that carries no request, and streams are taken
 // up there until the list shows it.
 type targetWatch struct {
-	gateway *Gateway
-	running sync.WaitGroup
-	mu      sync.Mutex // guards the fields below
-	watched map[directory.TargetKey]*watchedTarget
-	told    int       // ends since toldAt
-	toldAt  time.Time // when counting began anew
+	gateway   *Gateway
+	running   sync.WaitGroup
+	mu        sync.Mutex // guards the fields below
+	watched   map[directory.TargetKey]*watchedTarget
+	sent      int       // ends since sentSince
+	sentSince time.Time // when counting began anew
 }
 
 func newTargetWatch(gateway *Gateway) *targetWatch {
@@ -126,20 +126,20 @@
 	return held != nil && held.openedAt.Before(at) && connection.Peek(held.conn) == connection.Idle
 }
 
-// recordEnd records that a target has ended, certainly or perhaps. Other entries are told at
+// recordEnd records that a target has ended, certainly or possibly. It notifies other entries at
 // once, unless many targets end at the same time.
 func (targetWatch *targetWatch) recordEnd(key directory.TargetKey, certain bool) {
 	gateway := targetWatch.gateway
 	now := gateway.clock.Now()
 	targetWatch.mu.Lock()
-	if now.Sub(targetWatch.toldAt) >= time.Second {
-		targetWatch.told, targetWatch.toldAt = 0, now
+	if now.Sub(targetWatch.sentSince) >= time.Second {
+		targetWatch.sent, targetWatch.sentSince = 0, now
 	}
-	targetWatch.told++
-	tells := targetWatch.told <= maxEndsTold
+	targetWatch.sent++
+	toAll := targetWatch.sent <= maxEndsSent
 	targetWatch.mu.Unlock()
 	gateway.metrics.Add("targets.watch_ended", 1)
-	gateway.recordBroken(key, certain, tells)
+	gateway.recordBroken(key, certain, toAll)
 }
 
 // watchedTarget is a target to which this entry keeps a connection.
