--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -107,18 +107,19 @@
 
 // deployment is a small deployment: entries, engines with agents, and a plain service.
 type deployment struct {
-	folder  string
-	network int
-	record  *record
-	store   *store
-	entries []*process
-	agents  []*process
-	engines []*replica
-	plain   []*replica
-	ports   struct{ front, ready, control, inner, app int }
-	sent    atomic.Int64
-	mu      sync.Mutex
-	answers []answer
+	folder   string
+	network  int
+	reserved net.Listener
+	record   *record
+	store    *store
+	entries  []*process
+	agents   []*process
+	engines  []*replica
+	plain    []*replica
+	ports    struct{ front, ready, control, inner, app int }
+	sent     atomic.Int64
+	mu       sync.Mutex
+	answers  []answer
 }
 
 // answer is what a caller got.
@@ -145,6 +146,16 @@
 	return fmt.Sprintf("127.%d.%d.%d", d.network, group, index+1)
 }
 
+// reserve keeps other deployments on this machine from using the same addresses.
+func (d *deployment) reserve() bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:9100", d.ip(9, 9)))
+	if err != nil {
+		return false
+	}
+	d.reserved = listener // until the end of the process
+	return true
+}
+
 // free reports whether the ports that the system uses are free on the addresses.
 func (d *deployment) free() bool {
 	for _, ip := range []string{d.ip(1, 0), d.ip(2, 0), d.ip(3, 0)} {
@@ -170,7 +181,7 @@
 		base := 12000 + 20*rand.IntN(900)
 		d.network = 20 + rand.IntN(200)
 		d.ports.front, d.ports.ready, d.ports.control, d.ports.app, d.ports.inner = base, base+1, base+2, base+3, base+4
-		if d.free() {
+		if d.reserve() && d.free() {
 			break
 		}
 		if attempt > 50 {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -42,6 +43,9 @@
 
 	mu       sync.Mutex
 	leaving  bool
+	crashed  bool
+	poison   *poison             // nil unless a part of prompts crashes engines
+	disk     map[string]bool     // models of which there is a copy on disk
 	models   map[string][]string // adapters by model, nil for a plain service
 	pending  []string
 	busyTill time.Time
@@ -79,7 +83,10 @@
 		store: store, record: record, stop: make(chan struct{}), models: models,
 	}
 	if models != nil {
-		r.slots = 64
+		r.slots, r.disk = 64, map[string]bool{}
+	}
+	for model := range models {
+		r.disk[model] = true
 	}
 	r.server = &http.Server{Handler: r, IdleTimeout: 10 * time.Second}
 	go func() { _ = r.server.Serve(listener) }()
@@ -184,7 +191,7 @@
 	answer := map[string]any{
 		"Stage": "both", "Models": r.residents(), "Busy": time.Now().Before(r.busyTill), "Sequence": r.sequence, "Waiting": 0, "Running": r.running,
 		"KvUsed": 0, "KvTotal": 161844, "Handles": 0, "State": state, "Pending": append([]string{}, r.pending...), "Runs": []any{}, "born": r.born,
-		"Resident": map[string]any{"InMemory": []string{}, "OnDisk": []string{}},
+		"Resident": map[string]any{"InMemory": []string{}, "OnDisk": slices.Sorted(maps.Keys(r.disk))},
 	}
 	r.mu.Unlock()
 	respondJSON(writer, http.StatusOK, answer)
@@ -245,7 +252,7 @@
 		time.AfterFunc(modelTime, func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.models[given.Model] = []string{}
+			r.models[given.Model], r.disk[given.Model] = []string{}, true
 		})
 		return http.StatusAccepted
 	default:
@@ -274,7 +281,11 @@
 	r.running++
 	index := len(r.runs)
 	r.runs = append(r.runs, run{at: time.Now(), id: id, method: request.Method, path: request.URL.Path})
+	poison := r.poison
 	r.mu.Unlock()
+	if poison.hits(request) {
+		poison.recordReached(r, id)
+	}
 	r.record.printf("run    %s of version %s runs %s after event %q", r.id, r.version, id, request.Header.Get("Last-Event-Id"))
 	writer.Header().Set("Server-Seal", "sealed."+id)
 	if r.models != nil {
@@ -284,6 +295,10 @@
 		r.prefill.Lock()
 		time.Sleep(time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond)))
 		r.prefill.Unlock()
+		if poison.hits(request) {
+			poison.crash(r, id)
+			return
+		}
 		begun, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 for a new stream
 		for event := begun + 1; event <= streamEvents; event++ {
 			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s %s\n\n", event, r.version, r.id); err != nil || request.Context().Err() != nil {
