--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -258,9 +258,12 @@
 }
 
 // addPlain starts a replica of the plain service.
-func (d *deployment) addPlain() (*replica, error) {
+func (d *deployment) addPlain() (*replica, error) { return d.addPlainVersion("v1") }
+
+// addPlainVersion starts a replica of the plain service that runs a software version.
+func (d *deployment) addPlainVersion(version string) (*replica, error) {
 	index := len(d.plain)
-	added, err := newReplica(fmt.Sprintf("i-p%d", index), plainService, "v1", fmt.Sprintf("%s:%d", d.ip(3, index), d.ports.app), zones[index%len(zones)], d.store, d.record, nil)
+	added, err := newReplica(fmt.Sprintf("i-p%d", index), plainService, version, fmt.Sprintf("%s:%d", d.ip(3, index), d.ports.app), zones[index%len(zones)], d.store, d.record, nil)
 	if err == nil {
 		d.plain = append(d.plain, added)
 	}
@@ -332,6 +335,7 @@
 		"Routes": []any{
 			map[string]any{"Name": "r-draft", "Host": host, "PathPrefix": "/draft/", "Kind": "streaming", "TimeoutMs": 5000, "TargetLatencyMs": 600, "TargetGapMs": 300, "Priority": 1, "Service": engineService, "MaxAttempts": 1, "AllowAnonymous": false, "Sticky": true, "Resumable": false},
 			map[string]any{"Name": "r-backlist", "Host": host, "PathPrefix": "/backlist/", "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 6000, "TargetGapMs": 300, "Priority": 2, "Service": engineService, "MaxAttempts": 2, "AllowAnonymous": false, "Sticky": true, "Resumable": true},
+			map[string]any{"Name": "r-feed", "Host": host, "PathPrefix": "/feed/", "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 6000, "TargetGapMs": 300, "Priority": 2, "Service": plainService, "MaxAttempts": 2, "AllowAnonymous": false, "Resumable": true},
 			map[string]any{"Name": "r-assign", "Host": host, "PathPrefix": "/assign/", "Kind": "unsafe", "TimeoutMs": 800, "TargetLatencyMs": 100, "Priority": 2, "Service": plainService, "MaxAttempts": 1, "AllowAnonymous": false},
 			map[string]any{"Name": "r-lookup", "Host": host, "PathPrefix": "/lookup/", "Kind": "safe", "TimeoutMs": 800, "TargetLatencyMs": 100, "Priority": 2, "Service": plainService, "MaxAttempts": 2, "AllowAnonymous": false},
 		},
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 // testCase plays a case with or without its disruption, and returns whether the rule was broken.
 type testCase func(record *record, trouble bool) (brokenRule bool, err error)
 
-var cases = map[string]testCase{"fence": fenceCase, "drain": drainCase, "rejoin": rejoinCase, "poison": poisonCase}
+var cases = map[string]testCase{"fence": fenceCase, "drain": drainCase, "rejoin": rejoinCase, "poison": poisonCase, "swap": swapCase}
 
 func main() {
 	os.Exit(play())
--- a/review/standin/rejoin.go
+++ b/review/standin/rejoin.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -41,27 +40,7 @@
 	if err != nil {
 		return false, err
 	}
-	var mu sync.Mutex
-	var streams []*stream
-	var callers sync.WaitGroup
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(backlistPause):
-				callers.Add(1)
-				go func() {
-					defer callers.Done()
-					got := d.follow()
-					mu.Lock()
-					streams = append(streams, got)
-					mu.Unlock()
-				}()
-			}
-		}
-	}()
+	streams := d.followMany("/backlist/2f", backlistPause)
 	time.Sleep(9 * time.Second)
 	record.printf("plan   a release begins: two replicas of version v2 start")
 	released := time.Now()
@@ -113,30 +92,11 @@
 	}
 	<-drilled
 	time.Sleep(6 * time.Second)
-	close(done)
-	callers.Wait()
-	joined, complete, resumed := 0, 0, 0
-	for _, got := range streams {
-		if got.complete {
-			complete++
-		}
-		if got.broken && got.complete {
-			resumed++
-		}
-		if len(got.versions) > 1 {
-			joined++
-			record.printf("joined the stream of attempt %s has events of versions %v, complete %v", got.first, got.versions, got.complete)
-		}
-	}
-	record.printf("result %d streams, %d complete, %d of them after a break, %d joined from two versions (more than %d break ORDER)", len(streams), complete, resumed, joined, maxJoined)
-	if complete < len(streams)/2 {
-		return false, fmt.Errorf("only %d of %d streams are complete", complete, len(streams))
-	}
-	return joined > maxJoined, nil
+	return streams.check(record)
 }
 
 // follow has a caller ask for a stream, and take it up where it breaks off.
-func (d *deployment) follow() *stream {
+func (d *deployment) follow(path string) *stream {
 	got := &stream{versions: map[string]int{}}
 	deadline := time.Now().Add(15 * time.Second)
 	for got.attempts < 1+takeUps && time.Now().Before(deadline) {
@@ -145,7 +105,7 @@
 			got.first = id
 		}
 		got.attempts++
-		pause := d.attempt(got, id, deadline)
+		pause := d.attempt(got, path, id, deadline)
 		if got.complete {
 			break
 		}
@@ -155,11 +115,11 @@
 }
 
 // attempt makes one attempt of a stream's caller, and returns after which pause to make the next.
-func (d *deployment) attempt(got *stream, id string, deadline time.Time) time.Duration {
+func (d *deployment) attempt(got *stream, path, id string, deadline time.Time) time.Duration {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	entry := rand.IntN(len(d.entries))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/backlist/2f", d.ip(1, entry), d.ports.front), strings.NewReader("{}"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", d.ip(1, entry), d.ports.front, path), strings.NewReader("{}"))
 	if err != nil {
 		return takeUpPause
 	}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -19,6 +19,7 @@
 	heartbeat    = 1200 * time.Millisecond
 	adapterTime  = 10 * time.Millisecond   // of the load of an adapter
 	modelTime    = 1200 * time.Millisecond // of the load of a model
+	plainSlots   = 6
 	plainWork    = 15 * time.Millisecond
 	prefillRate  = 25.8 // prompt tokens that an engine reads in a millisecond
 	eventPause   = 40 * time.Millisecond
@@ -74,12 +75,17 @@
 }
 
 func newReplica(id, service, version, address, zone string, store *store, record *record, models map[string][]string) (*replica, error) {
+	return newReplicaLater(0, id, service, version, address, zone, store, record, models)
+}
+
+// newReplicaLater starts a replica that first writes its entry in the store after a while.
+func newReplicaLater(register time.Duration, id, service, version, address, zone string, store *store, record *record, models map[string][]string) (*replica, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		id: id, service: service, version: version, address: address, zone: zone, born: time.Now().UnixMilli(), slots: 6,
+		id: id, service: service, version: version, address: address, zone: zone, born: time.Now().UnixMilli(), slots: plainSlots,
 		store: store, record: record, stop: make(chan struct{}), models: models,
 	}
 	if models != nil {
@@ -90,8 +96,14 @@
 	}
 	r.server = &http.Server{Handler: r, IdleTimeout: 10 * time.Second}
 	go func() { _ = r.server.Serve(listener) }()
-	r.beat()
+	if register == 0 {
+		r.beat()
+	}
 	go func() {
+		if register > 0 {
+			time.Sleep(register)
+			r.beat()
+		}
 		for {
 			select {
 			case <-r.stop:
@@ -288,10 +300,13 @@
 	}
 	r.record.printf("run    %s of version %s runs %s after event %q", r.id, r.version, id, request.Header.Get("Last-Event-Id"))
 	writer.Header().Set("Server-Seal", "sealed."+id)
-	if r.models != nil {
+	if r.models != nil || streams(request.URL.Path) {
 		writer.Header().Set("Content-Type", "text/event-stream")
 		prompt, _, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
 		tokens, _ := strconv.Atoi(prompt)
+		if r.models == nil {
+			tokens = 0
+		}
 		r.prefill.Lock()
 		time.Sleep(time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond)))
 		r.prefill.Unlock()
