Order versions of the store by its epoch, so that fences never fall

Cause: versions were the store's revisions, which go back and are given out again. Nothing read the number of the store's epoch.

Why it works: a version holds the epoch above the revision, in both compositions, so every comparison and fence made from it orders the epochs too.

--- a/kernel/directory/source.go
+++ b/kernel/directory/source.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Cursor is a position in the history of a source; the zero value is its start.
+// Cursor is a position in the history of a source, in all epochs of its store; the zero value
+// is its start. It is a version of package object.
 type Cursor uint64
 
 // Source provides the configuration and the list of targets. Documents are
--- a/kernel/object/rest.go
+++ b/kernel/object/rest.go
@@ -19,6 +19,7 @@
 	restBodyLimit   = 8 << 20         // bytes
 	restMaxConns    = 256
 	headerVersion   = "Object-Version"
+	headerEpoch     = "Object-Epoch" // number of the API's epoch, in all responses
 	headerIfVersion = "If-Object-Version"
 )
 
@@ -31,8 +32,12 @@
 	base   string
 	count  func(purpose string)
 	client *fasthttp.Client
+	epochs Epochs
 }
 
+// Epoch returns the latest epoch that the object API has named, 0 if it has named none.
+func (rest *REST) Epoch() uint64 { return rest.epochs.Current() }
+
 // OpenREST returns a client of the object API at address (HOST:PORT). It calls
 // count with the purpose of each call that it sends.
 func OpenREST(address string, count func(purpose string)) Store {
@@ -72,12 +77,19 @@
 // must not exist, and returns its new version.
 func (rest *REST) Update(ctx context.Context, purpose, key string, value []byte, version uint64) (uint64, error) {
 	reply, err := rest.call(ctx, purpose, call{method: fasthttp.MethodPut, path: "/objects/" + key, body: value, ifVersion: &version})
-	return reply.version, err
+	if err != nil {
+		return 0, err
+	}
+	return rest.epochs.CheckWritten(reply.epoch, RevisionOf(reply.version), version)
 }
 
 // Delete removes the object if it has the given version.
 func (rest *REST) Delete(ctx context.Context, purpose, key string, version uint64) error {
-	_, err := rest.call(ctx, purpose, call{method: fasthttp.MethodDelete, path: "/objects/" + key, ifVersion: &version})
+	reply, err := rest.call(ctx, purpose, call{method: fasthttp.MethodDelete, path: "/objects/" + key, ifVersion: &version})
+	if err != nil {
+		return err
+	}
+	_, err = rest.epochs.CheckWritten(reply.epoch, 0, version)
 	return err
 }
 
@@ -94,31 +106,38 @@
 	if err != nil {
 		return nil, err
 	}
-	return parseObjects(reply.body)
+	return parseObjects(reply.body, reply.epoch)
 }
 
 // Watch waits at most wait for changes under prefix that are newer than the version
-// after, and returns them with the version to watch from next.
+// after, and returns them with the version to watch from next. In another epoch than
+// that of after, all objects count as changed.
 func (rest *REST) Watch(ctx context.Context, purpose, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
-	path := "/watch?prefix=" + prefix + "&after=" + strconv.FormatUint(after, 10) + "&wait=" + wait.String()
+	if rest.epochs.Outdated(after) {
+		after = JoinVersion(rest.epochs.Current(), 0)
+	}
+	path := "/watch?prefix=" + prefix + "&after=" + strconv.FormatUint(RevisionOf(after), 10) + "&wait=" + wait.String()
 	reply, err := await(ctx, func() (reply, error) {
 		return rest.call(ctx, purpose, call{method: fasthttp.MethodGet, path: path, extraTime: wait})
 	})
 	if err != nil {
 		return nil, after, err
 	}
-	objects, err := parseObjects(reply.body)
+	if after != 0 && EpochOf(after) != reply.epoch {
+		return nil, after, errors.Wrapf(ErrUnknown, "the watch is from epoch %d of the object API, which is in %d", EpochOf(after), reply.epoch)
+	}
+	objects, err := parseObjects(reply.body, reply.epoch)
 	return objects, reply.version, err
 }
 
-func parseObjects(body []byte) ([]Object, error) {
+func parseObjects(body []byte, epoch uint64) ([]Object, error) {
 	var listedObjects []listedObject
 	if err := json.Unmarshal(body, &listedObjects); err != nil {
 		return nil, errors.Wrap(err, "parse object list")
 	}
 	objects := make([]Object, 0, len(listedObjects))
 	for _, listed := range listedObjects {
-		objects = append(objects, NewObject(listed.Key, listed.Value, listed.Version))
+		objects = append(objects, NewObject(listed.Key, listed.Value, JoinVersion(epoch, listed.Version)))
 	}
 	return objects, nil
 }
@@ -137,12 +156,16 @@
 type reply struct {
 	body    []byte
 	version uint64
+	epoch   uint64
 }
 
 func (rest *REST) call(ctx context.Context, purpose string, call call) (reply, error) {
 	if ctx.Err() != nil {
 		return reply{}, errors.Mark(ctx.Err(), ErrRefused)
 	}
+	if call.ifVersion != nil && rest.epochs.Outdated(*call.ifVersion) {
+		return reply{}, errors.Wrapf(ErrConflict, "version %d is of an earlier epoch of the object API", *call.ifVersion)
+	}
 	rest.count(purpose)
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -151,7 +174,7 @@
 	request.SetRequestURI(rest.base + call.path)
 	request.SetBodyRaw(call.body)
 	if call.ifVersion != nil {
-		request.Header.Set(headerIfVersion, strconv.FormatUint(*call.ifVersion, 10))
+		request.Header.Set(headerIfVersion, strconv.FormatUint(RevisionOf(*call.ifVersion), 10))
 	}
 	deadline := time.Now().Add(restTimeout + call.extraTime)
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(deadline) {
@@ -160,7 +183,13 @@
 	if err := rest.client.DoDeadline(request, response, deadline); err != nil {
 		return reply{}, errors.Mark(errors.Wrapf(err, "%s %s", call.method, call.path), ErrUnknown)
 	}
-	return readReply(call, response)
+	epoch, err := rest.epochs.Observe(string(response.Header.Peek(headerEpoch)))
+	if err != nil {
+		return reply{}, errors.Wrapf(err, "%s %s", call.method, call.path)
+	}
+	reply, err := readReply(call, response)
+	reply.epoch, reply.version = epoch, rest.epochs.Join(epoch, reply.version)
+	return reply, err
 }
 
 // await runs a call that may take long and returns early if ctx is cancelled. The
--- a/kernel/orders/right.go
+++ b/kernel/orders/right.go
@@ -78,10 +78,11 @@
 	return right.fence + 1
 }
 
-// AgentFence returns the fence for the orders of an agent that starts at a revision of the store.
-// It is higher than the planner's fences of that revision and the earlier ones.
-func AgentFence(revision uint64) uint64 { return 2*revision + 1 }
+// AgentFence returns the fence for the orders of an agent that starts at a version of the store,
+// which counts its epochs too. It is higher than the planner's fences of that version and the
+// earlier ones.
+func AgentFence(version uint64) uint64 { return 2*version + 1 }
 
 // PlannerFence returns the fence for orders of a planner whose last write to the store made a
-// revision. It is higher than those of all agents that started before it.
-func PlannerFence(revision uint64) uint64 { return 2 * revision }
+// version. It is higher than those of all agents that started before it.
+func PlannerFence(version uint64) uint64 { return 2 * version }
--- a/kernel/sidecar/sidecar.go
+++ b/kernel/sidecar/sidecar.go
@@ -315,22 +315,23 @@
 }
 
 // followConfiguration reads the configuration at the start, and again when
-// entries announce a newer version. The store's revision at the first valid
-// configuration determines the fence of this agent's orders. This relies on revisions
-// that only rise, so that a later process of the agent has no lower fence.
+// entries announce a newer version. The store's version at the first valid
+// configuration determines the fence of this agent's orders. Versions only rise, also
+// when the store comes back from an older copy, so that a later process of the agent
+// has no lower fence.
 func (sidecar *Sidecar) followConfiguration(ctx context.Context) error {
 	cursor := directory.Cursor(0)
 	if sidecar.options.FirstStart {
 		sidecar.sleep(ctx, firstStartDelay)
 	}
 	for ctx.Err() == nil {
-		document, revision, err := sidecar.options.Source.Configuration(ctx, cursor, configWatchTimeout)
+		document, position, err := sidecar.options.Source.Configuration(ctx, cursor, configWatchTimeout)
 		if err != nil {
 			sidecar.options.Metrics.Add("catalogue.errors", 1)
 			sidecar.sleep(ctx, configRetryDelay)
 			continue
 		}
-		cursor = revision
+		cursor = position
 		if document == nil {
 			continue // none has been written yet
 		}
@@ -341,7 +342,7 @@
 			sidecar.sleep(ctx, configCheckInterval)
 			continue
 		}
-		sidecar.control.Post(func() { sidecar.applyConfiguration(parsed, revision) })
+		sidecar.control.Post(func() { sidecar.applyConfiguration(parsed, position) })
 		if !sidecar.restoreTried && !sidecar.options.FirstStart {
 			sidecar.restoreTried = true
 			sidecar.restoreModels(ctx)
@@ -359,9 +360,9 @@
 }
 
 // applyConfiguration puts a parsed configuration into use.
-func (sidecar *Sidecar) applyConfiguration(parsed *directory.Directory, revision directory.Cursor) {
+func (sidecar *Sidecar) applyConfiguration(parsed *directory.Directory, position directory.Cursor) {
 	if sidecar.fence == 0 {
-		sidecar.fence = orders.AgentFence(uint64(revision))
+		sidecar.fence = orders.AgentFence(uint64(position))
 		sidecar.inventoryVersion++
 		sidecar.log.Infof("orders carry fence %d", sidecar.fence)
 	}
