Hold the lease back after its record was lost

What could be seen: after the store came back from an older copy, two planners for up to 3 s, a fence given out twice, and a reserve of retries that was opened although another holder had granted some. A record that could not be decoded left the lease without a holder for ever.

Cause: a record under an instance's own name, or released, counted as free, and the next fence as one without a holder in between.

Why it works: the record names the epoch in which it was written. One of an earlier epoch is free after a whole lease, at once only for the instance whose own renewal still runs. Fences hold the epoch.

--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -161,11 +161,16 @@
 	fence, held := planRunner.lease.Held(now)
 	switch {
 	case held && fence != planRunner.heldFence:
-		if fence != planRunner.lastFence {
+		continued := planRunner.lastFence != 0 && planRunner.lease.Continued()
+		if fence != planRunner.lastFence && !continued {
 			planRunner.permits = permit.NewIssuer()
 		}
 		planRunner.heldFence, planRunner.lastFence, planRunner.acquired = fence, fence, now
-		planRunner.reserve.Open(fence, now)
+		if continued {
+			planRunner.reserve.Continue(fence)
+		} else {
+			planRunner.reserve.Open(fence, now)
+		}
 		planRunner.gateway.log.Infof("plans for the fleet with fence %d", fence)
 	case !held && planRunner.heldFence != 0:
 		planRunner.gateway.log.Infof("no longer plans for the fleet, fence %d", planRunner.heldFence)
--- a/kernel/lease/driver.go
+++ b/kernel/lease/driver.go
@@ -40,7 +40,12 @@
 	found, err := driver.Store.Get(ctx, "lease", driver.Key)
 	var record Record
 	if err == nil {
+		// Another writer may have replaced the record. It is acquired like that of another
+		// instance, once it has been unchanged for a lease's duration.
 		record, err = ParseRecord(found.Value())
+		if err != nil {
+			record, err = malformedRecord, nil
+		}
 	}
 	failed := err != nil && !errors.Is(err, object.ErrNotFound)
 	return driver.WithLease(func(lease *Lease, now time.Time) []Effect {
@@ -51,6 +56,7 @@
 func (driver Driver) write(ctx context.Context, write Write) []Effect {
 	ctx, cancel := context.WithTimeout(ctx, driver.Timeout)
 	defer cancel()
+	write.Record.epoch = object.CurrentEpoch(driver.Store)
 	data, err := write.Record.Marshal()
 	if err != nil {
 		return nil
--- a/kernel/lease/lease.go
+++ b/kernel/lease/lease.go
@@ -3,9 +3,10 @@
 // synchronised clocks, only a bound on the difference of their speeds: a holder
 // counts the lease from when it sent the write that acquired or renewed it, and
 // other instances wait until the record has been unchanged for longer than the
-// lease can last on the slowest clock. Each acquisition raises the fencing number,
+// lease can last on the slowest clock. A record that the store has lost, since it came back
+// from an older copy, counts as unchanged since this is noticed. Each acquisition raises the fencing number,
 // which the users of the package send along so that others can refuse a former
-// holder. Lease is a state machine without I/O; Driver carries out its effects
+// holder. It holds the epoch of the store, see object.JoinVersion. Lease is a state machine without I/O; Driver carries out its effects
 // through package object.
 package lease
 
@@ -14,6 +15,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"endiverill.example/kernel/clock"
+	"endiverill.example/kernel/object"
 )
 
 // Record is the stored state of a lease in the object API.
@@ -22,6 +26,7 @@
 	fence     uint64
 	heartbeat uint64 // number of the holder's write, so that each renewal changes the record
 	duration  time.Duration
+	epoch     uint64 // of the store when it was written, as far as its writer knew
 }
 
 // Holder returns the name of the current or last holder, empty after a release.
@@ -30,16 +35,20 @@
 // Fence returns the fencing number, which increases with each acquisition.
 func (record Record) Fence() uint64 { return record.fence }
 
+// malformedRecord stands for a record that cannot be decoded. Its holder is not known.
+var malformedRecord = Record{holder: "unknown"}
+
 type wireRecord struct {
 	Holder   string `json:"holder"`
 	Fence    uint64 `json:"fence"`
 	Beat     uint64 `json:"beat"`
 	Duration int64  `json:"duration_ms"`
+	Epoch    uint64 `json:"epoch,omitempty"`
 }
 
 // Marshal encodes the record in its stored form.
 func (record Record) Marshal() ([]byte, error) {
-	return json.Marshal(wireRecord{Holder: record.holder, Fence: record.fence, Beat: record.heartbeat, Duration: record.duration.Milliseconds()})
+	return json.Marshal(wireRecord{Holder: record.holder, Fence: record.fence, Beat: record.heartbeat, Duration: record.duration.Milliseconds(), Epoch: record.epoch})
 }
 
 // ParseRecord decodes a stored record.
@@ -48,7 +57,7 @@
 	if err := json.Unmarshal(data, &stored); err != nil {
 		return Record{}, errors.Wrap(err, "decode the lease record")
 	}
-	return Record{holder: stored.Holder, fence: stored.Fence, heartbeat: stored.Beat, duration: time.Duration(stored.Duration) * time.Millisecond}, nil
+	return Record{holder: stored.Holder, fence: stored.Fence, heartbeat: stored.Beat, duration: time.Duration(stored.Duration) * time.Millisecond, epoch: stored.Epoch}, nil
 }
 
 // Params holds the parameters of a lease.
@@ -63,10 +72,14 @@
 	params       Params
 	record       Record
 	version      uint64    // of record
+	lost         bool      // there is no record, but there was one
 	recordKnown  bool      // false before the first read, and from a conflict or an unknown result to the next read
 	recordSeenAt time.Time // when this version of the record was first read or was written
 	callInFlight bool      // an effect was returned whose result has not been passed in
 	pending      Record    // record of the last write
+	acquires     bool      // the last write acquires the lease, or gives it up; it does not renew it
+	continues    bool      // the last write acquires it again for its holder, after its record was lost
+	continued    bool      // the last acquisition was such a one
 	writeSentAt  time.Time // when the last acquisition or renewal was sent
 	heartbeat    uint64    // number of the last acquisition or renewal
 	fence        uint64    // fencing number, while held
@@ -144,7 +157,7 @@
 	}
 	lease.nextTick = now.Add(lease.params.Duration / attemptsPerDuration)
 	if _, held := lease.Held(now); held && lease.recordKnown {
-		return lease.write(now, lease.fence)
+		return lease.write(now, lease.fence, false)
 	}
 	lease.held = false
 	lease.callInFlight = true
@@ -153,8 +166,9 @@
 
 // write returns the effect that acquires the lease, or renews it when fence is that of
 // the lease held.
-func (lease *Lease) write(now time.Time, fence uint64) []Effect {
+func (lease *Lease) write(now time.Time, fence uint64, acquires bool) []Effect {
 	lease.heartbeat++
+	lease.acquires = acquires
 	lease.pending = Record{holder: lease.params.Holder, fence: fence, heartbeat: lease.heartbeat, duration: lease.params.Duration}
 	lease.writeSentAt = now
 	lease.callInFlight = true
@@ -168,16 +182,18 @@
 		return nil
 	}
 	if !lease.recordKnown || version != lease.version {
+		lease.lost = version == 0 && (lease.lost || lease.version != 0)
 		lease.record, lease.version, lease.recordKnown = record, version, true
 		lease.recordSeenAt = now
 	}
 	if lease.released {
 		return nil
 	}
-	if record.holder == lease.params.Holder && record == lease.pending {
+	if record.holder == lease.params.Holder && record.sameWrite(lease.pending) && !lease.recordLost() {
 		// The last write took effect, although its response may have been lost. The
 		// lease counts from when that write was sent, so it may have expired already.
-		lease.acquire(record)
+		// One that took effect in a later epoch has not replaced the record that it was to.
+		lease.acquire(version)
 		if _, held := lease.Held(now); held {
 			return nil
 		}
@@ -186,21 +202,56 @@
 	if !lease.isFree(now) {
 		return nil
 	}
-	return lease.write(now, record.fence+1)
+	lease.continues = lease.recordLost() && lease.runs(now)
+	return lease.write(now, record.fence+1, true)
+}
+
+// sameWrite reports whether two records are of the same write.
+func (record Record) sameWrite(other Record) bool {
+	record.epoch, other.epoch = 0, 0
+	return record == other
 }
 
-// isFree reports whether the lease is certain to have no other holder.
+// isFree reports whether the lease is certain to have no other holder. A record of an earlier
+// epoch of the store names a former holder: the record of the last one, which may still hold the
+// lease, has been lost. Then only that one may write before its lease can last no more.
 func (lease *Lease) isFree(now time.Time) bool {
-	if lease.version == 0 || lease.record.holder == "" || lease.record.holder == lease.params.Holder {
+	switch {
+	case lease.recordLost():
+		if lease.runs(now) {
+			return true
+		}
+	case lease.version == 0, lease.record.holder == "", lease.record.holder == lease.params.Holder:
 		return true
 	}
-	safeDuration := time.Duration(float64(lease.record.duration) * (1 + lease.params.Drift))
+	duration := max(lease.record.duration, lease.params.Duration)
+	safeDuration := time.Duration(float64(duration) * (1 + lease.params.Drift))
 	return now.Sub(lease.recordSeenAt) > safeDuration
 }
 
-// acquire records that the last write, of this record, acquired or renewed the lease.
-func (lease *Lease) acquire(record Record) {
-	lease.fence = record.fence
+// recordLost reports whether the store has lost the record of the last holder.
+func (lease *Lease) recordLost() bool {
+	return lease.lost || lease.record.epoch < object.EpochOf(lease.version)
+}
+
+// runs reports whether the last acquisition or renewal of this instance lasts until now, whatever
+// the store has.
+func (lease *Lease) runs(now time.Time) bool {
+	return lease.fence != 0 && clock.Elapsed(lease.renewedAt, now) < lease.End().Sub(lease.renewedAt)
+}
+
+// Continued reports whether no other instance can have held the lease between the last two
+// acquisitions of this one, although its record was lost.
+func (lease *Lease) Continued() bool { return lease.continued }
+
+// acquire records that the last write acquired or renewed the lease, and made this version of
+// the record. A fencing number counts the acquisitions and holds the epoch of the version, so
+// that it is higher than all earlier ones also where the record with the last of them is lost.
+func (lease *Lease) acquire(version uint64) {
+	if lease.acquires {
+		lease.fence = object.JoinVersion(object.EpochOf(version), object.RevisionOf(lease.pending.fence))
+		lease.continued = lease.continues
+	}
 	lease.renewedAt = lease.writeSentAt
 	lease.held = true
 }
@@ -217,7 +268,7 @@
 		case lease.released:
 			return lease.writeRelease(lease.pending.fence)
 		default:
-			lease.acquire(lease.pending)
+			lease.acquire(version)
 		}
 	case Conflicted:
 		lease.recordKnown = false
@@ -247,6 +298,7 @@
 // writeRelease returns the effect that clears the holder in the record of an acquisition
 // with this fencing number.
 func (lease *Lease) writeRelease(fence uint64) []Effect {
+	lease.acquires = true
 	lease.pending = Record{fence: fence, heartbeat: lease.heartbeat + 1, duration: lease.params.Duration}
 	lease.callInFlight = true
 	return []Effect{Write{Record: lease.pending, BaseVersion: lease.version}}
--- a/kernel/lease/promise_test.go
+++ b/kernel/lease/promise_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"endiverill.example/kernel/object"
 	"endiverill.example/kernel/proptest"
 )
 
@@ -26,6 +27,16 @@
 	inFlight     []func()
 	highestFence uint64
 	acquisitions int
+	rollbacks    bool // the store may come back from an older copy
+	epoch        uint64
+	copies       []storeCopy
+}
+
+// storeCopy is what the store held from a time on.
+type storeCopy struct {
+	at       time.Time
+	record   Record
+	revision uint64
 }
 
 type instance struct {
@@ -35,6 +46,7 @@
 	paused  bool
 	crashed bool
 	fence   uint64 // of the last acquisition seen by checkHolders
+	epoch   uint64 // latest that it knows of
 }
 
 func (instance *instance) clock(now time.Time) time.Time {
@@ -54,9 +66,13 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case Read:
-			record, version := simulation.record, simulation.version
+			record, version, epoch := simulation.record, simulation.version, simulation.epoch
 			failed := rapid.IntRange(0, 7).Draw(simulation.t, "read") == 0
 			simulation.enqueue(instance, func() []Effect {
+				failed := failed || epoch < instance.epoch
+				if !failed {
+					instance.epoch = epoch
+				}
 				return instance.lease.ReadDone(instance.clock(simulation.now), record, version, failed)
 			})
 		case Write:
@@ -67,6 +83,12 @@
 
 func (simulation *simulation) write(instance *instance, write Write) {
 	result, version := Unknown, uint64(0)
+	write.Record.epoch = instance.epoch
+	if write.BaseVersion != 0 && object.EpochOf(write.BaseVersion) < instance.epoch {
+		simulation.enqueue(instance, func() []Effect { return instance.lease.WriteDone(instance.clock(simulation.now), Conflicted, 0) })
+		return
+	}
+	epoch := simulation.epoch
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "late", "vanished"}).Draw(simulation.t, "write") {
 	case "ok":
 		result, version = simulation.applyWrite(write)
@@ -75,18 +97,41 @@
 	case "late":
 		simulation.inFlight = append(simulation.inFlight, func() { simulation.applyWrite(write) })
 	}
-	simulation.enqueue(instance, func() []Effect { return instance.lease.WriteDone(instance.clock(simulation.now), result, version) })
+	simulation.enqueue(instance, func() []Effect {
+		switch {
+		case epoch < instance.epoch, result == Written && write.BaseVersion != 0 && object.EpochOf(write.BaseVersion) != epoch:
+			result, version = Unknown, 0
+		case result != Unknown:
+			instance.epoch = epoch
+		}
+		return instance.lease.WriteDone(instance.clock(simulation.now), result, version)
+	})
 }
 
 func (simulation *simulation) applyWrite(write Write) (WriteResult, uint64) {
-	if write.BaseVersion != simulation.version {
+	if object.RevisionOf(write.BaseVersion) != object.RevisionOf(simulation.version) {
 		return Conflicted, 0
 	}
-	simulation.version++
+	simulation.version = object.JoinVersion(simulation.epoch, object.RevisionOf(simulation.version)+1)
 	simulation.record = write.Record
+	simulation.copies = append(simulation.copies, storeCopy{at: simulation.now, record: write.Record, revision: object.RevisionOf(simulation.version)})
 	return Written, simulation.version
 }
 
+// rollBack has the store come back from a copy that is some seconds old.
+func (simulation *simulation) rollBack() {
+	age := time.Duration(rapid.IntRange(0, 10_000).Draw(simulation.t, "age")) * time.Millisecond
+	for len(simulation.copies) > 1 && simulation.now.Sub(simulation.copies[len(simulation.copies)-1].at) < age {
+		simulation.copies = simulation.copies[:len(simulation.copies)-1]
+	}
+	if len(simulation.copies) == 0 {
+		return
+	}
+	old := simulation.copies[len(simulation.copies)-1]
+	simulation.epoch++
+	simulation.record, simulation.version = old.record, object.JoinVersion(simulation.epoch, old.revision)
+}
+
 func (simulation *simulation) enqueue(instance *instance, step func() []Effect) {
 	simulation.inFlight = append(simulation.inFlight, func() {
 		switch {
@@ -123,6 +168,9 @@
 }
 
 func (simulation *simulation) step() {
+	if simulation.rollbacks && rapid.IntRange(0, 29).Draw(simulation.t, "rollback") == 0 {
+		simulation.rollBack()
+	}
 	instance := rapid.SampledFrom(simulation.instances).Draw(simulation.t, "node")
 	switch choice := rapid.IntRange(0, 19).Draw(simulation.t, "step"); {
 	case choice == 0:
--- a/kernel/retry/reserve.go
+++ b/kernel/retry/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"endiverill.example/kernel/object"
 )
 
 // Reserve holds the allowance of all entries at the holder of a lease, whose fencing
@@ -26,12 +28,21 @@
 func (reserve *Reserve) Open(fence uint64, now time.Time) {
 	reserve.mu.Lock()
 	defer reserve.mu.Unlock()
-	if fence != reserve.fence && fence != reserve.fence+1 {
+	first := reserve.fence == 0 && object.RevisionOf(fence) == 1
+	if fence != reserve.fence && fence != reserve.fence+1 && !first {
 		reserve.opensAt = now.Add(reserve.retention())
 	}
 	reserve.fence = fence
 }
 
+// Continue records that this entry has acquired the lease again and no other one can have held
+// it meanwhile, as lease.Lease knows after the record of the lease was lost.
+func (reserve *Reserve) Continue(fence uint64) {
+	reserve.mu.Lock()
+	defer reserve.mu.Unlock()
+	reserve.fence = fence
+}
+
 // retention returns how long a grant counts.
 func (reserve *Reserve) retention() time.Duration {
 	return reserve.limits.Window + maxTransit
