Keep what left as it was when the list comes back older

Cause: lists were dropped as late by their revision (mended by versions with epochs); and a list from an older copy shows targets as they were before they left.

Why it works: the first list of an epoch is a rollback for the tracker. Targets that had left or gone stay so for 10 s, in which the targets write their entries again; those that came since are kept for 2 s. An earlier start in such a list makes no origin of a stream uncertain.

--- a/entry/gateway/origins.go
+++ b/entry/gateway/origins.go
@@ -74,7 +74,8 @@
 	}
 	origins.mu.Unlock()
 	for _, target := range listed {
-		if old := before[target.ID()]; old != nil && old.Key() != target.Key() && old.Software() != target.Software() {
+		// A list that came back from an older copy may show an earlier start.
+		if old := before[target.ID()]; old != nil && target.StartedAt() > old.StartedAt() && old.Software() != target.Software() {
 			origins.replaced(old.Key(), target.Service(), target.StartedAt())
 		}
 	}
--- a/entry/gateway/syncer.go
+++ b/entry/gateway/syncer.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"endiverill.example/kernel/directory"
+	"endiverill.example/kernel/object"
 	"endiverill.example/kernel/wire"
 )
 
@@ -313,12 +314,13 @@
 // listVersion returns the version of a list that was read at the given
 // position of the platform's history. A list that differs from the previous one at
 // most in the models that the targets hold keeps its version, since agents report
-// those.
+// those. In another epoch of the platform's store, each list has a new version.
 func (syncer *syncer) listVersion(listed []*directory.Target, at uint64) uint64 {
 	syncer.mu.Lock()
 	defer syncer.mu.Unlock()
-	if directory.SameTargets(listed, syncer.listed) && syncer.listFreshness.Version() > 0 {
-		return syncer.listFreshness.Version()
+	known := syncer.listFreshness.Version()
+	if known > 0 && object.EpochOf(known) == object.EpochOf(at) && directory.SameTargets(listed, syncer.listed) {
+		return known
 	}
 	return at
 }
@@ -333,8 +335,15 @@
 	if version < syncer.listFreshness.Version() {
 		return // a newer one arrived first
 	}
-	changed := version != syncer.listFreshness.Version()
+	known := syncer.listFreshness.Version()
+	changed := version != known
 	now := gateway.clock.Now()
+	if object.EpochOf(known) != 0 && object.EpochOf(version) > object.EpochOf(known) {
+		gateway.metrics.Add("targets.rollbacks", 1)
+		gateway.log.Warnf("list %d of %d targets from %s is of epoch %d of the store, the previous one, %d, of epoch %d",
+			object.RevisionOf(version), len(listed), origin, object.EpochOf(version), object.RevisionOf(known), object.EpochOf(known))
+		syncer.targetTracker.RecordRollback(origin.at)
+	}
 	syncer.logLeaving(listed, version, origin)
 	origin.record(syncer.listFreshness, version)
 	syncer.listed, syncer.list = listed, &document{version: version, content: content}
--- a/kernel/directory/target.go
+++ b/kernel/directory/target.go
@@ -51,6 +51,13 @@
 	return NewTarget(spec)
 }
 
+// Left returns the target as one that takes no new requests.
+func (target *Target) Left() *Target {
+	spec := target.spec
+	spec.Draining = true
+	return NewTarget(spec)
+}
+
 // TargetKey identifies an incarnation of a target by ID and start time.
 type TargetKey struct {
 	ID        string
--- a/kernel/directory/targettracker.go
+++ b/kernel/directory/targettracker.go
@@ -18,6 +18,80 @@
 	missing     map[TargetKey]bool      // targets in use before the outage and not listed since
 	replaced    map[TargetKey]time.Time // time at which an incarnation was found replaced
 	unlisted    map[TargetKey]time.Time // time since which an incarnation is used although not listed yet
+	removed     map[TargetKey]time.Time // time at which the list lacked a target in use, for copyMaxAge
+	rollback    rollback
+}
+
+// rollback is what lists showed before their source came back from an older copy.
+type rollback struct {
+	until   time.Time // for which it is held against the list
+	leaving map[TargetKey]bool
+	gone    map[TargetKey]bool
+}
+
+const (
+	// copyMaxAge is how old the copy may be that a source comes back from.
+	copyMaxAge = 30 * time.Second
+	// rollbackRetention is how long after its return a source may list targets that have left
+	// as they were before. Targets write their entries again within two seconds; those of
+	// targets that have ended lapse after three of their heartbeats.
+	rollbackRetention = 10 * time.Second
+)
+
+// RecordRollback records that the next list to be passed to Update is the first one, at the
+// time at, since its source came back from an older copy. Targets that left before must not be
+// used again because the copy lists them, and targets that came since are listed again within
+// recoveryGrace.
+func (targetTracker *TargetTracker) RecordRollback(at time.Time) {
+	if !targetTracker.rollback.until.After(at) {
+		targetTracker.rollback = rollback{leaving: map[TargetKey]bool{}, gone: map[TargetKey]bool{}}
+	}
+	targetTracker.rollback.until = at.Add(rollbackRetention)
+	for _, target := range targetTracker.listed {
+		if target.Draining() {
+			targetTracker.rollback.leaving[target.Key()] = true
+		}
+	}
+	for key := range targetTracker.removed {
+		targetTracker.rollback.gone[key] = true
+	}
+	targetTracker.recoveredAt = at
+	for key := range targetTracker.targets {
+		targetTracker.missing[key] = true
+	}
+}
+
+// correct returns the listed targets without those that had gone before a rollback of the
+// list, and with those leaving that were.
+func (targetTracker *TargetTracker) correct(listed []*Target, now time.Time) []*Target {
+	if !targetTracker.rollback.until.After(now) {
+		return listed
+	}
+	corrected := make([]*Target, 0, len(listed))
+	for _, target := range listed {
+		switch key := target.Key(); {
+		case targetTracker.rollback.gone[key]:
+			continue
+		case targetTracker.rollback.leaving[key] && !target.Draining():
+			target = target.Left()
+		}
+		corrected = append(corrected, target)
+	}
+	return corrected
+}
+
+// recordRemoved keeps which targets in use next does not hold any more.
+func (targetTracker *TargetTracker) recordRemoved(next map[TargetKey]*Target, now time.Time) {
+	for key := range targetTracker.targets {
+		if next[key] == nil {
+			targetTracker.removed[key] = now
+		}
+	}
+	for key, at := range targetTracker.removed {
+		if next[key] != nil || now.Sub(at) > copyMaxAge {
+			delete(targetTracker.removed, key)
+		}
+	}
 }
 
 // NewTargetTracker returns a TargetTracker without targets.
@@ -25,6 +99,7 @@
 	return &TargetTracker{
 		targets: map[TargetKey]*Target{}, missing: map[TargetKey]bool{},
 		replaced: map[TargetKey]time.Time{}, unlisted: map[TargetKey]time.Time{},
+		removed: map[TargetKey]time.Time{},
 	}
 }
 
@@ -104,7 +179,7 @@
 
 // apply determines the targets to use from the last reading of the list.
 func (targetTracker *TargetTracker) apply(now time.Time) []*Target {
-	listed := targetTracker.listed
+	listed := targetTracker.correct(targetTracker.listed, now)
 	next := make(map[TargetKey]*Target, len(listed))
 	addresses := map[string]bool{}
 	for _, target := range listed {
@@ -124,6 +199,7 @@
 		next[key] = known
 	}
 	targetTracker.keepUnlisted(next, now)
+	targetTracker.recordRemoved(next, now)
 	targetTracker.targets = next
 	return targetTracker.Targets()
 }
