Take a record of versions from an earlier epoch as incomplete

Cause: entries that start took the older record for complete, and nobody wrote it again, since the planner compared it with its memory.

Why it works: the record names its epoch. From one of an earlier epoch no stream is joined that no entry knows, until those of the time before can no longer be taken up. Entries that ran through the change write it again.

--- a/entry/gateway/originrecord.go
+++ b/entry/gateway/originrecord.go
@@ -27,6 +27,7 @@
 	gateway *Gateway
 	object  uint64 // version of this entry's object, 0 if there is none
 	written uint64 // origins.begun when it was written
+	lost    bool   // the store may have lost the object, or has another one
 }
 
 // storedOrigins is the stored form. Its records are a wire.StreamOrigins.
@@ -119,7 +120,10 @@
 func (originRecord *originRecord) write(ctx context.Context) error {
 	gateway := originRecord.gateway
 	records, begun := gateway.origins.ownRecords()
-	if begun == originRecord.written {
+	if originRecord.object != 0 && object.EpochOf(originRecord.object) < object.CurrentEpoch(gateway.options.Store) {
+		originRecord.lost = true
+	}
+	if begun == originRecord.written && !originRecord.lost {
 		return nil
 	}
 	message := &wire.StreamOrigins{}
@@ -138,7 +142,8 @@
 	defer cancel()
 	version, err := gateway.options.Store.Update(ctx, "origins", originRecord.key(), data, originRecord.object)
 	if errors.Is(err, object.ErrConflict) || errors.Is(err, object.ErrNotFound) {
-		// Another incarnation of this entry has written it, or an earlier write without an answer was done.
+		// Another incarnation of this entry has written it, an earlier write without an answer
+		// was done, or the store has come back from a copy.
 		found, getErr := gateway.options.Store.Get(ctx, "origins", originRecord.key())
 		if getErr == nil || errors.Is(getErr, object.ErrNotFound) {
 			originRecord.object = found.Version()
@@ -148,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	originRecord.object, originRecord.written = version, begun
+	originRecord.object, originRecord.written, originRecord.lost = version, begun, false
 	return nil
 }
 
--- a/entry/gateway/versionrecord.go
+++ b/entry/gateway/versionrecord.go
@@ -29,8 +29,10 @@
 
 // storedVersions is the stored form. Releases before it stored a map of the admitted ones.
 type storedVersions struct {
-	Admitted  map[string][]string `json:"admitted"`
-	Announced map[string][]string `json:"announced,omitempty"`
+	Admitted   map[string][]string `json:"admitted"`
+	Announced  map[string][]string `json:"announced,omitempty"`
+	Incomplete bool                `json:"incomplete,omitempty"`
+	Epoch      uint64              `json:"epoch,omitempty"` // of the store when it was written, as far as the writer knew
 }
 
 // The history of versions has a gap if the list in force was older than maxSoleListAge: a
@@ -47,8 +49,7 @@
 			versionRecord.gateway.syncer.resetListGap() // the object is read next
 			continue
 		case !versionRecord.gateway.origins.isRecalled():
-			versionRecord.object = 0
-			if err = versionRecord.read(ctx); err == nil {
+			if err = versionRecord.recall(ctx); err == nil {
 				versionRecord.gateway.origins.setRecalled(true)
 			}
 		case versionRecord.gateway.planner.fence() != 0:
@@ -77,28 +78,54 @@
 	return origins.recalled
 }
 
-// read recalls the versions in the store, unless this entry has written or read them last.
-func (versionRecord *versionRecord) read(ctx context.Context) error {
+// recall takes over the versions in the store. A record of an earlier epoch is what the store
+// had before it came back from a copy, and lacks what was written since.
+func (versionRecord *versionRecord) recall(ctx context.Context) error {
+	askedAt := versionRecord.gateway.clock.Now()
+	found, record, err := versionRecord.read(ctx)
+	if err != nil {
+		return err
+	}
+	lost := found.Version() == 0 && versionRecord.object != 0
+	record.Incomplete = record.Incomplete || lost || versionRecord.outdated(found)
+	if record.Incomplete {
+		versionRecord.gateway.metrics.Add("streams.records_lost", 1)
+		versionRecord.gateway.log.Warnf("the store has lost at which software versions streams began, it has %v; streams that no entry knows are not taken up for %v",
+			record.Admitted, stream.VersionRetention)
+	}
+	versionRecord.object, versionRecord.written = found.Version(), found.Value()
+	versionRecord.gateway.origins.recall(record, askedAt)
+	return nil
+}
+
+// read returns the object, of version 0 if there is none, and what it holds.
+func (versionRecord *versionRecord) read(ctx context.Context) (object.Object, stream.VersionRecord, error) {
 	gateway := versionRecord.gateway
-	askedAt := gateway.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
 	defer cancel()
 	found, err := gateway.options.Store.Get(ctx, "versions", gateway.options.VersionsKey)
-	if err != nil && !errors.Is(err, object.ErrNotFound) {
-		return err
+	if errors.Is(err, object.ErrNotFound) {
+		return object.Object{}, stream.VersionRecord{}, nil
 	}
-	record := stream.VersionRecord{}
-	if err == nil {
-		if record, err = decodeVersions(found.Value()); err != nil {
-			gateway.log.Warnf("the software versions in the store are malformed and will be replaced: %v", err)
-		}
+	if err != nil {
+		return object.Object{}, stream.VersionRecord{}, err
 	}
-	if found.Version() == versionRecord.object && versionRecord.object != 0 {
-		return nil
+	record, err := decodeVersions(found.Value())
+	if err != nil {
+		gateway.log.Warnf("the software versions in the store are malformed and will be replaced: %v", err)
+		record.Incomplete = true
 	}
-	versionRecord.object, versionRecord.written = found.Version(), found.Value()
-	gateway.origins.recall(record, askedAt)
-	return nil
+	return found, record, nil
+}
+
+// outdated reports whether an object was written in an earlier epoch of the store.
+func (versionRecord *versionRecord) outdated(found object.Object) bool {
+	var stored struct {
+		Epoch uint64 `json:"epoch"`
+	}
+	// One that cannot be decoded, or is of a release that wrote none, has epoch 0.
+	_ = json.Unmarshal(found.Value(), &stored)
+	return stored.Epoch < object.EpochOf(found.Version())
 }
 
 // decodeVersions decodes the stored form, and that of earlier releases.
@@ -112,15 +139,19 @@
 			return stream.VersionRecord{}, err
 		}
 	}
-	return stream.VersionRecord{Admitted: stored.Admitted, Announced: stored.Announced}, nil
+	return stream.VersionRecord{Admitted: stored.Admitted, Announced: stored.Announced, Incomplete: stored.Incomplete}, nil
 }
 
 // recall takes over what the store had when it was asked at the given time.
 func (origins *origins) recall(record stream.VersionRecord, askedAt time.Time) {
 	now := origins.gateway.clock.Now()
 	origins.mu.Lock()
-	origins.versions.Recall(record.Admitted, now)
-	origins.versions.Recall(record.Announced, now)
+	recall := origins.versions.Recall
+	if record.Incomplete {
+		recall = origins.versions.RecallIncomplete
+	}
+	recall(record.Admitted, now)
+	recall(record.Announced, now)
 	origins.admission.Read(record, askedAt, now)
 	origins.mu.Unlock()
 	origins.applyAdmission()
@@ -186,17 +217,24 @@
 	return origins.admission.BegunAt(service, origins.gateway.clock.Now())
 }
 
-// write stores the versions if they have changed, together with those that another entry has
-// stored since.
+// write stores the versions if they have changed or the store may have lost them, together with
+// those that another entry has stored since. What this entry knows is complete, whatever the
+// store has lost.
 func (versionRecord *versionRecord) write(ctx context.Context) error {
 	if versionRecord.unchanged() {
 		return nil
 	}
-	if err := versionRecord.read(ctx); err != nil {
+	askedAt := versionRecord.gateway.clock.Now()
+	found, record, err := versionRecord.read(ctx)
+	if err != nil {
 		return err
 	}
+	if found.Version() != versionRecord.object && found.Version() != 0 && !versionRecord.outdated(found) {
+		versionRecord.gateway.origins.recall(record, askedAt)
+	}
+	versionRecord.object = found.Version()
 	planned := versionRecord.plan()
-	data, err := encodeVersions(planned)
+	data, err := versionRecord.encode(planned)
 	if err != nil {
 		return err
 	}
@@ -218,8 +256,10 @@
 	return nil
 }
 
+// unchanged reports whether the store has what it should, unless it has come back from a copy:
+// then its epoch is another one.
 func (versionRecord *versionRecord) unchanged() bool {
-	data, err := encodeVersions(versionRecord.plan())
+	data, err := versionRecord.encode(versionRecord.plan())
 	return err == nil && bytes.Equal(data, versionRecord.written)
 }
 
@@ -238,6 +278,10 @@
 	return origins.admission.Plan(origins.versions.Recorded(now), serving, now)
 }
 
-func encodeVersions(record stream.VersionRecord) ([]byte, error) {
-	return json.Marshal(storedVersions{Admitted: record.Admitted, Announced: record.Announced})
+// encode returns the stored form of a record that is written now.
+func (versionRecord *versionRecord) encode(record stream.VersionRecord) ([]byte, error) {
+	return json.Marshal(storedVersions{
+		Admitted: record.Admitted, Announced: record.Announced, Incomplete: record.Incomplete,
+		Epoch: object.CurrentEpoch(versionRecord.gateway.options.Store),
+	})
 }
--- a/kernel/stream/admission.go
+++ b/kernel/stream/admission.go
@@ -22,13 +22,18 @@
 type VersionRecord struct {
 	Admitted  map[string][]string
 	Announced map[string][]string
+	// Incomplete says that streams which can still be taken up may have begun at other versions
+	// too, since the store has lost what was written before.
+	Incomplete bool
 }
 
 // Admission decides at which software versions of a service streams may begin that their callers
 // can take up. An entry begins streams only at versions that the record in the store admits, and
 // the planner admits a version no sooner than FreshRecord after it has announced it there. So a
 // record that was read within FreshRecord names each version at which a stream may have begun,
-// whichever entries have been killed since. Where no admitted version of a service is listed,
+// whichever entries have been killed since. A store that comes back from an older copy breaks
+// this; its record is read as incomplete, and stays so for VersionRetention, after which no
+// stream of the time before can be taken up. Where no admitted version of a service is listed,
 // streams begin at any.
 type Admission struct {
 	startedAt time.Time
@@ -37,6 +42,7 @@
 	readAt    time.Time            // when the record of firstRead was asked for
 	firstRead VersionRecord        // as this process found it at its start
 	announced map[Origin]time.Time // when the planner has announced or first read it
+	lostUntil time.Time            // until when streams of a time may be taken up whose versions are not known
 	fence     uint64               // of the planner whose message came last
 	received  map[Origin]bool      // what that planner admits; nil if this process has read or written the record since
 }
@@ -51,6 +57,9 @@
 	if admission.readAt.IsZero() {
 		admission.readAt, admission.firstRead = askedAt, record
 	}
+	if record.Incomplete {
+		admission.lostUntil = now.Add(VersionRetention)
+	}
 	admission.keep(record, now)
 }
 
@@ -118,7 +127,9 @@
 // serve or have lately, and listed those in the list now. A service of which no admitted version
 // is listed gets all that are at once.
 func (admission *Admission) Plan(retained, listed map[string][]string, now time.Time) VersionRecord {
-	planned := VersionRecord{Admitted: map[string][]string{}, Announced: map[string][]string{}}
+	planned := VersionRecord{
+		Admitted: map[string][]string{}, Announced: map[string][]string{}, Incomplete: now.Before(admission.lostUntil),
+	}
 	for service, versions := range retained {
 		serves := slices.ContainsFunc(listed[service], func(software string) bool { return admission.Admits(service, software) })
 		for _, software := range versions {
@@ -143,7 +154,7 @@
 		return "", false
 	}
 	admitted := admission.firstRead.Admitted[service]
-	if len(admitted) != 1 || len(admission.firstRead.Announced[service]) > 0 {
+	if admission.firstRead.Incomplete || len(admitted) != 1 || len(admission.firstRead.Announced[service]) > 0 {
 		return "", false
 	}
 	return admitted[0], true
--- a/kernel/stream/versions.go
+++ b/kernel/stream/versions.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// RecallIncomplete is Recall for a record that may lack versions that served before now. The
+// history is known from now on.
+func (versions *Versions) RecallIncomplete(recorded map[string][]string, now time.Time) {
+	versions.Recall(recorded, now)
+	versions.recalled, versions.since = false, now
+}
+
 // of returns what is known of a service, for changes.
 func (versions *Versions) of(service string) map[string]served {
 	known := versions.services[service]
