Keep parts of prompts that end targets when all entries are killed

Cause: only whole requests were kept in the store; parts were in memory.

Why it works: what each entry has seen of a part with two valid ends is kept by entry, so that entries that start again neither lose it nor count it twice. Parts that an answer clears are taken out.

--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -33,6 +33,9 @@
 	maxRecords    = 512                    // of suspected parts; see dropOldest
 	maxGood       = 8192                   // parts of each kind under which answers have begun lately
 	maxEvidence   = 64                     // in one report
+	lastingEnds   = 2                      // ends after which a part is remembered for entries that start
+	maxLasting    = 256                    // pieces of evidence that are, some 30 KB
+	lastingSource = "store"                // of whole requests in it, in place of the name of an entry
 )
 
 // Part identifies a part of a prompt, or a request as a whole, by a hash. The lowest bit is
@@ -61,6 +64,14 @@
 	Trying bool          // the entry is trying the part
 }
 
+// Lasting is what is to outlast all entries: the evidence of one entry of a whole request or of
+// a part.
+type Lasting struct {
+	Entry    string // that has seen the ends of targets under a part; empty for this one and for whole requests
+	WasGood  bool   // answers under the part had begun shortly before its first end
+	Evidence Evidence
+}
+
 // Quarantine is the state of one entry.
 type Quarantine struct {
 	records   map[Part]*record
@@ -257,19 +268,56 @@
 }
 
 // Lasting returns the whole requests that no target has answered and under which several have
-// ended, the latest first.
-func (quarantine *Quarantine) Lasting(now time.Time) []Evidence {
+// ended, and the parts that are withheld after several ends, the latest first. Most parts with
+// one end are sound.
+func (quarantine *Quarantine) Lasting(now time.Time) []Lasting {
 	quarantine.expire(now)
-	var lasting []Evidence
+	var lasting []Lasting
 	for part, record := range quarantine.records {
-		if !record.neverAnswered() {
+		if record.neverAnswered() {
+			if ended := record.allEnded(); len(ended) >= wholePlanner {
+				lasting = append(lasting, Lasting{Evidence: Evidence{Part: part, Ends: len(ended), Ended: ended, Age: now.Sub(record.lastEnd())}})
+			}
+			continue
+		}
+		if ends, _ := record.count(); part.whole() || record.weight(ends) < lastingEnds {
 			continue
 		}
-		if ended := record.allEnded(); len(ended) >= wholePlanner {
-			lasting = append(lasting, Evidence{Part: part, Ends: len(ended), Ended: ended, Age: now.Sub(record.lastEnd())})
+		add := func(entry string, seen seen) {
+			if seen.valid(record.begunAt) {
+				evidence := Evidence{Part: part, Ends: seen.ends, Age: now.Sub(seen.endAt), With: seen.with}
+				lasting = append(lasting, Lasting{Entry: entry, WasGood: record.wasGood, Evidence: evidence})
+			}
+		}
+		add("", record.own)
+		for entry, seen := range record.others {
+			add(entry, seen)
 		}
 	}
-	return latestFirst(lasting)
+	slices.SortFunc(lasting, func(left, right Lasting) int { return int(left.Evidence.Age - right.Evidence.Age) })
+	return lasting[:min(len(lasting), maxLasting)]
+}
+
+// Restore records evidence that has outlasted an entry, this one if its name is empty, unless
+// later evidence of that entry is known.
+func (quarantine *Quarantine) Restore(lasting []Lasting, now time.Time) {
+	for _, last := range lasting {
+		evidence := last.Evidence
+		if evidence.Part.whole() {
+			quarantine.Apply(lastingSource, []Evidence{evidence}, now)
+			continue
+		}
+		known := quarantine.suspect(evidence.Part, now)
+		restored := seen{ends: evidence.Ends, endAt: now.Add(-evidence.Age), with: evidence.With}
+		switch {
+		case last.Entry == "" && known.own.ends == 0:
+			known.own = restored
+		case last.Entry != "" && known.others[last.Entry].endAt.Before(restored.endAt):
+			known.others[last.Entry] = restored
+		}
+		known.wasGood = known.wasGood || last.WasGood
+	}
+	quarantine.expire(now)
 }
 
 // latestFirst returns the evidence of the latest ends, maxEvidence of them at most.
