Take a refusal without an ID on a used connection for no answer

What callers saw: 503, not run, for a request that its target ran, after the target wrote an earlier refusal once more on a kept connection. On safe routes the request ran at a second target.

Cause: a refusal that names no request was taken for the answer to the last request sent, also on a connection that had carried another one.

Why it works: such a refusal is discarded. The answer to the request itself gets 300 ms, and without one the outcome is unknown. On a new connection it counts as before, as nothing else can have been answered there.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -21,6 +21,7 @@
 	freeBodyBytes      = 256 << 10              // also the step in which more is taken from maxLargeBodyBytes
 	trailerTimeout     = 50 * time.Millisecond  // for the end of a chunked body after its last chunk
 	discardTimeout     = 100 * time.Millisecond // for the rest of a body that is read only to reuse its connection
+	ownAnswerTimeout   = 300 * time.Millisecond // for the answer to a request after a response that names none, on a connection that was used before
 )
 
 var (
@@ -29,6 +30,9 @@
 	ErrBadResponse = errors.New("truncated or invalid response from the target")
 	// ErrUnmatched marks an exchange in which no response belonged to the request.
 	ErrUnmatched = errors.New("the target sent only responses to other requests")
+	// ErrAnonymous marks an exchange with a response that names no request, on a connection
+	// that has carried another one, to which it may belong.
+	ErrAnonymous = errors.New("the target sent a response that may belong to an earlier request")
 )
 
 // Request is one HTTP request to a target.
@@ -39,7 +43,8 @@
 	// Matches reports whether a response belongs to the request, and whether it is
 	// anonymous, that is, names no request. The connection of an anonymous response
 	// is not reused, since a late duplicate of it could be taken for the response to
-	// the next request.
+	// the next request. On a connection that has carried another request, it belongs to
+	// no request for certain; see ErrAnonymous.
 	Matches func(header *fasthttp.ResponseHeader) (matches, anonymous bool)
 	// Arrivals, if not nil, reports what arrives for the request.
 	Arrivals *Arrivals
@@ -79,6 +84,7 @@
 	body       io.Reader
 	framing    Framing
 	complete   bool         // the body has been read to its end
+	doubted    bool         // an anonymous response came before
 	ended      bool         // the connection is closed or belongs to the pool
 	ctxErr     func() error // the error of ctx once it has ended
 	stopCancel func() bool  // detaches the exchange from ctx; false if ctx has already ended
@@ -134,6 +140,9 @@
 		response.Header.Reset()
 		response.Header.SetNoDefaultContentType(true)
 		if err := response.Header.Read(response.conn.reader); err != nil {
+			if response.doubted {
+				err = errors.Mark(err, ErrAnonymous)
+			}
 			return errors.Mark(errors.Wrap(err, "read response header"), ErrBadResponse)
 		}
 		if status := response.Header.StatusCode(); status >= 100 && status < 200 {
@@ -141,11 +150,17 @@
 		}
 		response.setBody()
 		matches, anonymous := response.request.Matches(&response.Header)
-		if anonymous {
+		if matches && anonymous && response.conn.used {
+			if err := response.awaitOwn(); err != nil {
+				return err
+			}
+			continue
+		}
+		if anonymous || response.doubted {
 			response.Header.SetConnectionClose()
 		}
 		if matches {
-			return nil
+			return response.endAwait()
 		}
 		if err := response.discardUnmatched(); err != nil {
 			return err
@@ -154,6 +169,36 @@
 	return ErrUnmatched
 }
 
+// awaitOwn discards an anonymous response, which may be one to an earlier request that the
+// target has written again, and gives the target a while to answer this one.
+func (response *Response) awaitOwn() error {
+	response.doubted = true
+	if response.Header.ConnectionClose() || response.framing == FramedByClose {
+		return errors.Mark(errors.Newf("status %d, and the connection ends", response.Header.StatusCode()), ErrAnonymous)
+	}
+	if err := response.discardBody(response.body); err != nil {
+		return errors.Mark(err, ErrAnonymous)
+	}
+	if err := response.readTrailer(); err != nil {
+		return errors.Mark(err, ErrAnonymous)
+	}
+	if err := response.conn.SetReadDeadline(time.Now().Add(ownAnswerTimeout)); err != nil {
+		return errors.Mark(err, ErrAnonymous)
+	}
+	return response.ctxErr() // the call above may have removed the deadline that ended the exchange
+}
+
+// endAwait removes the deadline of awaitOwn.
+func (response *Response) endAwait() error {
+	if !response.doubted {
+		return nil
+	}
+	if err := response.conn.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Mark(err, ErrBadResponse)
+	}
+	return response.ctxErr()
+}
+
 // discardUnmatched reads and discards a response that belongs to another request.
 func (response *Response) discardUnmatched() error {
 	if err := response.discardBody(response.body); err != nil {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -399,6 +399,11 @@
 		response.Abort()
 		attempt.end(dispatch.Failed)
 		return attemptResult{ran: code.RanUnknown, fault: code.New(code.StreamCut, code.RanUnknown, "target %s may run another software version", target.ID())}
+	case call.route.Kind() == directory.Stream && call.head.LastEvent != "" && attempt.succeeds && !isEventStream(&response.Header):
+		response.Abort()
+		attempt.end(dispatch.Failed)
+		gateway.metrics.Add("streams.no_events", 1)
+		return attemptResult{ran: code.RanUnknown, fault: code.New(code.StreamCut, code.RanUnknown, "target %s answered with no stream of events, of which event %q was to be followed", target.ID(), call.head.LastEvent)}
 	case call.route.Kind() == directory.Stream:
 		return attemptResult{relay: newStreamRelay(response, attempt), ran: code.RanYes}
 	}
@@ -475,6 +480,9 @@
 		attempt.recordBreak(err)
 	}
 	attempt.end(dispatch.Failed)
+	if errors.Is(err, exchange.ErrAnonymous) {
+		gateway.metrics.Add("responses.anonymous", 1)
+	}
 	gateway.log.Infof("request %q failed at target %s after %v, ran %s, identity %x, prompt parts %s: %v",
 		call.head.ID, attempt.target.ID(), gateway.clock.Now().Sub(attempt.sentAt), ran, uint64(call.identity), call.placement.SharedIDs(), err)
 	if ran == code.RanNo {
