Continue a stream only with events

What callers saw: the text of an error, or a whole head, in the middle of a stream, or a stream that ended as if it were complete, after a target had answered a resumption with status 200 and no events.

Why it works: a continuation must name the stream's type, its events must have a field of events, and it must hold one where the break came inside an event or before the first. Anything else is a break.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"runtime/debug"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 	// errUnfinishedStream reports a stream of events whose connection, length or last
 	// chunk ended it inside an event, or before the first one.
 	errUnfinishedStream = errors.New("the stream ended inside an event or before the first one")
+	// errNoEvents reports an answer that was to continue a stream of events but holds none.
+	errNoEvents = errors.New("the answer that was to continue the stream holds no events")
 	// errOtherVersion reports a stream that was to go on at a target that may run another
 	// software version than the one that began it.
 	errOtherVersion = errors.New("the target may run another software version")
@@ -48,6 +51,8 @@
 	pending     []byte             // data that may be passed on
 	partial     []byte             // incomplete resumable event, held back
 	lastID      string             // ID of the last complete resumable event, at first of the last one that the caller has
+	continued   bool               // the response continues that of another target
+	owesEvent   bool               // the response must hold another event, as the one before broke inside one
 	readErr     error              // from the last read of the response, not acted on yet
 	finished    bool               // the target's stream has been read to its end
 	received    int                // bytes of the body
@@ -195,6 +200,9 @@
 		return false
 	}
 	scanner := relay.attempt.scanner
+	if relay.owesEvent && scanner.events == 0 {
+		return true
+	}
 	neverBegan := scanner.events == 0 && relay.lastID == "" && relay.attempt.framing == exchange.FramedByClose
 	return scanner.unfinished > 0 || neverBegan
 }
@@ -214,6 +222,9 @@
 		return relay.resume(errOtherVersion)
 	}
 	end := len(relay.partial) - len(data) + complete
+	if relay.continued && !holdsEvents(relay.partial[:end]) {
+		return relay.resume(errNoEvents)
+	}
 	relay.pending = append(relay.pending[:0], relay.partial[:end]...)
 	relay.call.recordOrigin(relay.attempt)
 	relay.logSource()
@@ -236,6 +247,24 @@
 		head.ID, target.ID(), target.StartedAt(), target.Service(), target.Software(), head.LastEvent, head.Resumes)
 }
 
+// holdsEvents reports whether each of the events has a field that events have, or a comment.
+// Other text, such as that of an error, may look like an event by its empty lines.
+func holdsEvents(events []byte) bool {
+	text := strings.ReplaceAll(strings.ReplaceAll(string(events), "\r\n", "\n"), "\r", "\n")
+	for event := range strings.SplitSeq(text, "\n\n") {
+		if strings.TrimSpace(event) != "" && !slices.ContainsFunc(strings.Split(event, "\n"), isField) {
+			return false
+		}
+	}
+	return true
+}
+
+// isField reports whether a line of an event is a field or a comment.
+func isField(line string) bool {
+	name, _, _ := strings.Cut(line, ":")
+	return slices.Contains([]string{"data", "id", "event", "retry"}, name) || name == "" && line != ""
+}
+
 // lastEventID returns the ID of the last of the events that has one, empty for
 // none.
 func lastEventID(events []byte) string {
@@ -266,6 +295,8 @@
 		cause = errUnfinishedStream
 	}
 	relay.response.Abort()
+	scanner := relay.attempt.scanner
+	relay.owesEvent = scanner.unfinished > 0 || scanner.events == 0 && (relay.owesEvent || relay.lastID == "")
 	if call.ctx.Err() != nil {
 		relay.attempt.end(dispatch.Cancelled)
 		return errors.Wrap(errTruncated, "the caller has disconnected or the deadline has passed")
@@ -290,7 +321,7 @@
 		call.placement.Software = ""
 	}
 	next, fault := gateway.forward(call)
-	if fault != nil || next.response == nil || !next.resumable || next.header.StatusCode() != relay.header.StatusCode() {
+	if fault != nil || next.response == nil || !next.resumable || next.header.StatusCode() != relay.header.StatusCode() || isEventStream(&relay.header) && !isEventStream(&next.header) {
 		gateway.metrics.Add("streams.cut", 1)
 		if fault == nil {
 			next.abandon()
@@ -299,7 +330,7 @@
 		return errors.Wrap(errTruncated, "no other target resumed the stream")
 	}
 	gateway.metrics.Add("streams.resumed", 1)
-	relay.response, relay.attempt, relay.partial = next.response, next.attempt, nil
+	relay.response, relay.attempt, relay.partial, relay.continued = next.response, next.attempt, nil, true
 	return nil
 }
 
