--- a/kernel/stream/fleet_test.go
+++ b/kernel/stream/fleet_test.go
@@ -34,6 +34,7 @@
 	fresh  bool          // Sole is used only if the list was the newest within the lag
 	settle bool          // an entry that has started decides, and sends its records again, once it knows the others
 	admit  bool          // streams begin only at versions that the record in the store admits
+	epochs bool          // a record of an earlier epoch of the store counts as incomplete
 	extra  time.Duration // added to the longest life of a stream for Sole
 }
 
@@ -68,6 +69,7 @@
 	at     time.Time
 	by     *simulated
 	record VersionRecord
+	epoch  int // of the store
 }
 
 // notice is a message of the planner to all entries.
@@ -115,6 +117,7 @@
 	entries     []*simulated
 	generations []generation
 	records     []written
+	epoch       int // of the store
 	notices     []notice
 	early       map[string]bool // versions admitted before their time, as no admitted one was listed
 	fence       uint64          // of the planner
@@ -130,7 +133,7 @@
 func newFleet(entries int, lag, life time.Duration, seed uint64) *fleet {
 	fleet := &fleet{
 		random: rand.New(rand.NewPCG(seed, 1)), now: start, lag: lag, life: life,
-		rules: rules{recall: true, fresh: true, settle: true, admit: true, extra: maxDelay + lag}, maxMissing: entries / missingOne, plannerSeen: start.Add(-time.Hour), early: map[string]bool{},
+		rules: rules{recall: true, fresh: true, settle: true, admit: true, epochs: true, extra: maxDelay + lag}, maxMissing: entries / missingOne, plannerSeen: start.Add(-time.Hour), early: map[string]bool{},
 	}
 	fleet.generations = []generation{{at: start.Add(-time.Hour), versions: []string{"v0"}}}
 	fleet.records = []written{{at: start.Add(-time.Hour), record: VersionRecord{Admitted: map[string][]string{service: {"v0"}}}}}
@@ -186,11 +189,32 @@
 		index--
 	}
 	entry.seen = fleet.records[index].record
-	entry.history().Recall(entry.seen.Admitted, at)
-	entry.history().Recall(entry.seen.Announced, at)
+	recall := entry.history().Recall
+	if fleet.outdated(fleet.records[index]) || entry.seen.Incomplete {
+		entry.seen.Incomplete, recall = true, entry.history().RecallIncomplete
+	}
+	recall(entry.seen.Admitted, at)
+	recall(entry.seen.Announced, at)
 	entry.admission().Read(entry.seen, at, at)
 }
 
+// outdated reports whether a record was written in an earlier epoch of the store.
+func (fleet *fleet) outdated(found written) bool {
+	return fleet.rules.epochs && found.epoch < fleet.epoch
+}
+
+// rollBack has the store come back from a copy of an age. What the operator and the targets
+// wrote is written again, so that the list stays as it is.
+func (fleet *fleet) rollBack(age time.Duration) {
+	for _, entry := range fleet.entries {
+		fleet.catchUp(entry)
+	}
+	for len(fleet.records) > 1 && fleet.now.Sub(fleet.records[len(fleet.records)-1].at) < age {
+		fleet.records = fleet.records[:len(fleet.records)-1]
+	}
+	fleet.epoch++
+}
+
 // within returns the time that is asked of Sole and for which records are kept.
 func (fleet *fleet) within() time.Duration { return fleet.life + fleet.rules.extra }
 
@@ -263,8 +287,8 @@
 	planned := func() VersionRecord {
 		return planner.admission().Plan(planner.history().Recorded(fleet.now), map[string][]string{service: planner.listed}, fleet.now)
 	}
-	if !equal(planned(), planner.seen) {
-		if last := fleet.records[len(fleet.records)-1]; last.by != planner || !last.at.After(planner.started) {
+	if last := fleet.records[len(fleet.records)-1]; !equal(planned(), planner.seen) || fleet.outdated(last) {
+		if !fleet.outdated(last) && (last.by != planner || !last.at.After(planner.started)) {
 			fleet.readRecord(planner, fleet.now)
 		}
 		before := planner.admission().record
@@ -276,13 +300,13 @@
 			}
 		}
 		planner.admission().Written(planner.seen, fleet.now)
-		fleet.records = append(fleet.records, written{at: fleet.now, by: planner, record: planner.seen})
+		fleet.records = append(fleet.records, written{at: fleet.now, by: planner, record: planner.seen, epoch: fleet.epoch})
 	}
 	fleet.notices = append(fleet.notices, notice{at: fleet.now, fence: fleet.fence, admitted: planner.admission().Admitted()})
 }
 
 func equal(left, right VersionRecord) bool {
-	return maps.EqualFunc(left.Admitted, right.Admitted, slices.Equal) && maps.EqualFunc(left.Announced, right.Announced, slices.Equal)
+	return left.Incomplete == right.Incomplete && maps.EqualFunc(left.Admitted, right.Admitted, slices.Equal) && maps.EqualFunc(left.Announced, right.Announced, slices.Equal)
 }
 
 // others returns the entries that an entry knows of, without itself.
--- a/kernel/stream/promise_test.go
+++ b/kernel/stream/promise_test.go
@@ -172,15 +172,26 @@
 	case 9:
 		fleet.release(append(slices.Clone(listed), added))
 		fleet.after(fleet.below(2*fleet.lag), func() { fleet.release(listed) })
+	case 10:
+		fleet.rollBack(fleet.below(maxCopyAge))
+	case 11:
+		fleet.rollBack(fleet.below(maxCopyAge))
+		for _, entry := range fleet.entries {
+			fleet.kill(entry)
+		}
 	}
 }
 
-// Kinds of change. The last one takes a new version back within two lags.
+// Kinds of change. The last one of allKinds takes a new version back within two lags; in those
+// of storeKinds, the store comes back from a copy.
 const (
-	calmKinds = 9
-	allKinds  = 10
+	calmKinds  = 9
+	allKinds   = 10
+	storeKinds = 12
 )
 
+const maxCopyAge = 10 * time.Second // that the store comes back from
+
 // play plays a fleet with streams that begin at any time and changes at the given ones.
 func (fleet *fleet) play(changes map[time.Duration]int, longestCut time.Duration) {
 	for range streams {
