--- a/kernel/lease/rollback_test.go
+++ b/kernel/lease/rollback_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"endiverill.example/kernel/object"
+	"endiverill.example/kernel/proptest"
 )
 
 // Guards against two holders, or a fencing number given out again, after the store has lost the
@@ -70,6 +71,20 @@
 	assert.Assert(t, held && !former.Continued())
 }
 
+// A holder whose machine was suspended does not know whether another one has held the lease, and
+// lost its record, meanwhile. The steady clock does not count that time.
+func TestSuspendedHolderOfLostLeaseWaits(t *testing.T) {
+	now := time.Now()
+	lease, stored := rolledBack(t, now)
+	now = proptest.StepWallClock(now.Add(time.Second), 20*time.Second)
+	for range 3 {
+		stored.carryOut(lease, lease.Tick(now), now)
+		assert.Assert(t, !lease.Continued())
+		assert.Equal(t, stored.value.holder, "b")
+		now = now.Add(500 * time.Millisecond)
+	}
+}
+
 // malformedStore is a store whose record cannot be decoded.
 type malformedStore struct {
 	object.Store
