--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -19,6 +19,7 @@
 	planResendInterval = 400 * time.Millisecond  // of sending a command again; loads take seconds
 	planStartTimeout   = 1500 * time.Millisecond // within which an agent must start a command
 	planWarmUp         = 500 * time.Millisecond  // longest time for which a new planner collects reports before it sends commands; agents send one every 100 to 200 ms
+	lookInterval       = time.Second             // of the log lines that say what the planner found
 	plannerTimeout     = 1200 * time.Millisecond // a planner silent for longer may have failed
 	leaseDuration      = 3 * time.Second
 	leaseDrift         = 0.02        // bound on the relative drift between two clocks
@@ -41,6 +42,7 @@
 	acquired  time.Time      // when this entry acquired the lease
 	heldFence uint64         // fencing number of the lease, 0 while it is not held
 	lastFence uint64         // the last heldFence that was not 0
+	lookedAt  time.Time      // when the log last said what the planner found
 }
 
 func newPlanRunner(gateway *Gateway) *planRunner {
@@ -203,7 +205,9 @@
 	}
 	var commands []residency.Command
 	for _, service := range current.Services() {
-		commands = append(commands, planRunner.planner.Plan(service, targets, now)...)
+		planned := planRunner.planner.Plan(service, targets, now)
+		commands = append(commands, planned...)
+		planRunner.report(service.Name(), len(planned), now)
 	}
 	planRunner.mu.Unlock()
 	for _, command := range commands {
@@ -211,6 +215,28 @@
 	}
 }
 
+// report publishes what the planner found in a service: in the log each lookInterval and whenever it
+// gives commands, and in the metrics. The caller must hold mu.
+func (planRunner *planRunner) report(service string, commands int, now time.Time) {
+	look := planRunner.planner.LastLook(service)
+	if look == nil {
+		return // a service without model engines
+	}
+	metrics := planRunner.gateway.metrics
+	metrics.SetGauge("plans.targets_usable", int64(look.Usable()))
+	metrics.SetGauge("plans.targets_busy", int64(look.Busy()))
+	metrics.SetGauge("plans.loads_allowed", int64(look.Loads()))
+	for _, model := range look.Models() {
+		if obstacle := model.Obstacle(); obstacle != residency.ObstacleNone {
+			metrics.Add("plans.obstacle."+obstacle.String(), 1)
+		}
+	}
+	if commands > 0 || now.Sub(planRunner.lookedAt) >= lookInterval {
+		planRunner.lookedAt = now
+		planRunner.gateway.log.Infof("plan of %s: %d commands, %v", service, commands, look)
+	}
+}
+
 // allUsable reports whether there are targets and the reports of all of them are
 // recent and allow commands.
 func allUsable(targets []residency.Target) bool {
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -65,7 +65,8 @@
 	demand     map[string]*demandEstimate
 	pending    map[directory.TargetKey]pendingCommand
 	loadWindow time.Duration
-	meanSize   float64 // of a request, in tokens; 0 before the first one
+	meanSize   float64          // of a request, in tokens; 0 before the first one
+	looks      map[string]*Look // of the last call of Plan, by service
 }
 
 // demandEstimate is an exponentially decaying average of the demand for a model,
@@ -78,7 +79,7 @@
 // New returns a planner without demand. Window is the interval over which the
 // rate limit of the weight store counts loads.
 func New(window time.Duration) *Planner {
-	return &Planner{demand: map[string]*demandEstimate{}, pending: map[directory.TargetKey]pendingCommand{}, loadWindow: window}
+	return &Planner{demand: map[string]*demandEstimate{}, pending: map[directory.TargetKey]pendingCommand{}, loadWindow: window, looks: map[string]*Look{}}
 }
 
 // RecordDemand adds requests for a number of tokens to a model's demand.
@@ -125,7 +126,8 @@
 	}
 	draft := planner.newDraft(service, targets, now)
 	var commands []Command
-	for swaps := 0; swaps < maxSwaps; {
+	swaps := 0
+	for swaps < maxSwaps {
 		best, ok := draft.bestMove()
 		if !ok {
 			break
@@ -138,9 +140,13 @@
 		planner.pending[command.Key] = pendingCommand{command: command, sentAt: now, fromStore: best.fromStore}
 		commands = append(commands, command)
 	}
+	planner.looks[service.Name()] = draft.look(commands, swaps == maxSwaps)
 	return commands
 }
 
+// LastLook returns what the last call of Plan found in a service, nil before the first.
+func (planner *Planner) LastLook(service string) *Look { return planner.looks[service] }
+
 // pendingFor returns the pending command of a target, and discards one that is
 // done or timed out.
 func (planner *Planner) pendingFor(target *Target, now time.Time) (pendingCommand, bool) {
