--- /dev/null
+++ b/kernel/residency/shift_test.go
@@ -0,0 +1,286 @@
+package residency
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiverill.example/kernel/directory"
+)
+
+const (
+	shiftStep       = 50 * time.Millisecond
+	shiftRound      = 250 * time.Millisecond // between two calls of Plan
+	shiftLength     = 34 * time.Second
+	orderDelay      = 500 * time.Millisecond // from a command to the start of its load: the message, the order and an unload
+	targetCapacity  = 23000.0                // tokens per second that a target can read and generate
+	popularWork     = 320000.0               // tokens per second of the three popular models
+	rareModels      = 37
+	rareRequestRate = 0.4    // requests per second for each rare model
+	requestWork     = 2458.0 // tokens
+	rarePatience    = 10 * time.Second
+	atOnce          = 20 // loads from the weight store at full speed
+	popularModels   = 9  // of which three are popular at a time
+	shiftTargets    = 24
+	servedOfIdeal   = 0.9 // of what a planner that knows the future demand serves
+)
+
+// shiftedShares are the shares of the popular models in the work asked for, before the first and
+// after each move of demand.
+var (
+	shiftedShares = [][]float64{
+		{0.607, 0.225, 0.168}, {0, 0.607, 0, 0.225, 0.168}, {0, 0, 0, 0, 0.607, 0.225, 0.168}, {0, 0, 0, 0, 0, 0.607, 0, 0.225, 0.168},
+	}
+	shiftBegins = []float64{1, 14, 24}     // s
+	shiftEnds   = []float64{8.8, 21.9, 32} // s
+)
+
+// popularRate returns the work asked of a popular model, in tokens per second.
+func popularRate(model int, at time.Duration) float64 {
+	share := func(stage int) float64 {
+		if model < len(shiftedShares[stage]) {
+			return shiftedShares[stage][model]
+		}
+		return 0
+	}
+	rate := share(0)
+	for move := range shiftBegins {
+		moved := (at.Seconds() - shiftBegins[move]) / (shiftEnds[move] - shiftBegins[move])
+		rate += (share(move+1) - share(move)) * min(max(moved, 0), 1)
+	}
+	return rate * popularWork
+}
+
+// shiftService has the models of a fleet whose targets cannot hold all of them: the popular ones
+// first, then the rare ones, then some that nobody asks for.
+func shiftService() *directory.Service {
+	engine := &directory.EngineSpec{MemoryMegabytes: 200000, AdapterSlots: 8, LoadsPerSecond: 7.4}
+	for index := range popularModels + rareModels + shiftTargets {
+		weights, load := 72700.0, 6400*time.Millisecond
+		switch {
+		case index%3 == 0:
+			weights, load = 65300, 5800*time.Millisecond
+		case index >= popularModels && index%4 == 1:
+			weights, load = 34300, 3*time.Second
+		}
+		engine.Models = append(engine.Models, directory.NewModel(directory.ModelSpec{
+			Name: fmt.Sprintf("m%d", index), WeightsMegabytes: weights,
+			StoreLoadTime: load, DiskLoadTime: 1300 * time.Millisecond, HostLoadTime: 600 * time.Millisecond,
+		}))
+	}
+	return directory.NewService(directory.ServiceSpec{Name: "llm", Engine: engine})
+}
+
+// shiftedFleet simulates targets and their callers. A popular model's work goes to its replicas as
+// the entries spread it, where it would wait the least; what a target cannot take is lost. A request for a rare
+// model waits for a replica.
+type shiftedFleet struct {
+	service         *directory.Service
+	targets         []Target
+	loadEnds        map[directory.TargetKey]time.Duration
+	loadBegins      map[directory.TargetKey]time.Duration
+	random          *rand.Rand
+	waiting         map[int][]time.Duration // arrivals of requests for rare models
+	asked, served   float64                 // work of popular models
+	rareAsked, rare int                     // requests for rare models, and those of them that were served
+}
+
+func newShiftedFleet(seed uint64) *shiftedFleet {
+	fleet := &shiftedFleet{
+		service: shiftService(), random: rand.New(rand.NewPCG(seed, 0)), waiting: map[int][]time.Duration{},
+		loadEnds: map[directory.TargetKey]time.Duration{}, loadBegins: map[directory.TargetKey]time.Duration{},
+	}
+	for index := range shiftTargets {
+		popular := 0
+		switch {
+		case index >= 20:
+			popular = 2
+		case index >= 15:
+			popular = 1
+		}
+		other := popularModels + rareModels + index
+		if index < popularModels-3 {
+			other = 3 + index
+		}
+		target := Target{Key: directory.TargetKey{ID: fmt.Sprintf("t%02d", index)}, Service: "llm"}
+		target.Report.Models = []directory.ResidentModel{{Model: fmt.Sprintf("m%d", popular)}, {Model: fmt.Sprintf("m%d", other)}}
+		fleet.targets = append(fleet.targets, target)
+	}
+	return fleet
+}
+
+// level returns the work up to which targets with other work must be filled to take all of a rate.
+func level(bases []float64, rate float64) float64 {
+	slices.Sort(bases)
+	sum := rate
+	for count, base := range bases {
+		if count > 0 && sum/float64(count) <= base {
+			return sum / float64(count)
+		}
+		sum += base
+	}
+	return sum / float64(len(bases))
+}
+
+// serve spreads one step of the popular models' work, and answers the waiting requests for rare ones.
+func (fleet *shiftedFleet) serve(at time.Duration, rate func(int) float64) {
+	work := make([]float64, len(fleet.targets))
+	parts := make([][]float64, popularModels)
+	for model := range parts {
+		parts[model] = make([]float64, len(fleet.targets))
+	}
+	for range 6 {
+		for model := range popularModels {
+			var holders []int
+			var bases []float64
+			for index := range fleet.targets {
+				if holds(&fleet.targets[index], fmt.Sprintf("m%d", model)) {
+					work[index] -= parts[model][index]
+					holders, bases = append(holders, index), append(bases, work[index])
+				}
+			}
+			if len(holders) == 0 {
+				continue
+			}
+			filled := level(slices.Clone(bases), rate(model))
+			for position, index := range holders {
+				parts[model][index] = max(filled-bases[position], 0)
+				work[index] += parts[model][index]
+			}
+		}
+	}
+	for model := range popularModels {
+		fleet.asked += rate(model) * shiftStep.Seconds()
+	}
+	for _, taken := range work {
+		fleet.served += min(taken, targetCapacity) * shiftStep.Seconds()
+	}
+	for model := popularModels; model < popularModels+rareModels; model++ {
+		if fleet.random.Float64() < rareRequestRate*shiftStep.Seconds() {
+			fleet.waiting[model] = append(fleet.waiting[model], at)
+			fleet.rareAsked++
+		}
+		fleet.waiting[model] = slices.DeleteFunc(fleet.waiting[model], func(arrived time.Duration) bool { return at-arrived > rarePatience })
+		if slices.ContainsFunc(fleet.targets, func(target Target) bool { return holds(&target, fmt.Sprintf("m%d", model)) }) {
+			fleet.rare += len(fleet.waiting[model])
+			fleet.waiting[model] = nil
+		}
+	}
+}
+
+// advance ends and begins loads.
+func (fleet *shiftedFleet) advance(at time.Duration) {
+	running := 0
+	for index := range fleet.targets {
+		target := &fleet.targets[index]
+		for age := range target.StoreLoadAges {
+			target.StoreLoadAges[age] += shiftStep
+		}
+		target.StoreLoadAges = slices.DeleteFunc(target.StoreLoadAges, func(age time.Duration) bool { return age > 8*time.Second })
+		if target.Loading != "" && at >= fleet.loadEnds[target.Key] {
+			target.Report.Models = append(target.Report.Models, directory.ResidentModel{Model: target.Loading})
+			target.Report.DiskModels = append(target.Report.DiskModels, target.Loading)
+			target.Loading, target.Report.Busy = "", false
+		}
+		if target.Loading != "" {
+			running++
+		}
+	}
+	for index := range fleet.targets {
+		target := &fleet.targets[index]
+		begins, ordered := fleet.loadBegins[target.Key]
+		if !ordered || at < begins {
+			continue
+		}
+		delete(fleet.loadBegins, target.Key)
+		model := fleet.service.Model(target.Loading)
+		loadTime := model.DiskLoadTime()
+		if !slices.Contains(target.Report.DiskModels, target.Loading) {
+			loadTime = time.Duration(float64(model.StoreLoadTime()) * max(float64(running)/atOnce, 1))
+			target.StoreLoadAges = append(target.StoreLoadAges, 0)
+		}
+		fleet.loadEnds[target.Key] = at + loadTime
+	}
+}
+
+// carryOut begins to carry out commands.
+func (fleet *shiftedFleet) carryOut(commands []Command, at time.Duration) {
+	for _, command := range commands {
+		for index := range fleet.targets {
+			target := &fleet.targets[index]
+			if target.Key != command.Key {
+				continue
+			}
+			target.Report.Models = slices.DeleteFunc(target.Report.Models, func(residentModel directory.ResidentModel) bool {
+				return slices.Contains(command.Unload, residentModel.Model)
+			})
+			target.Loading, target.Report.Busy = command.Load, true
+			fleet.loadBegins[command.Key] = at + orderDelay
+			fleet.loadEnds[command.Key] = time.Duration(math.MaxInt64)
+		}
+	}
+}
+
+// run returns the shares of the popular work and of the requests for rare models that are served by a planner that
+// is told the popular demand of a time ahead.
+func (fleet *shiftedFleet) run(ahead time.Duration) (popular, rare float64) {
+	planner := New(window)
+	recorded := map[int]int{} // requests for rare models
+	for at := time.Duration(0); at < shiftLength; at += shiftStep {
+		now := start.Add(at)
+		fleet.advance(at)
+		fleet.serve(at, func(model int) float64 { return popularRate(model, at) })
+		for model := range popularModels {
+			planner.RecordDemand(fmt.Sprintf("m%d", model), popularRate(model, at+ahead)*shiftStep.Seconds(), now)
+		}
+		for model := popularModels; model < popularModels+rareModels; model++ {
+			if count := len(fleet.waiting[model]); count > recorded[model] {
+				planner.RecordDemand(fmt.Sprintf("m%d", model), requestWork*float64(count-recorded[model]), now)
+			}
+			recorded[model] = len(fleet.waiting[model])
+		}
+		if at%shiftRound == 0 {
+			fleet.carryOut(planner.Plan(fleet.service, fleet.targets, now), at)
+		}
+	}
+	return fleet.served / fleet.asked, float64(fleet.rare) / float64(fleet.rareAsked)
+}
+
+// idealServed returns an upper bound of the share of the popular work that any planner serves: one that knows
+// all demand from the start, whose targets hold all popular models that they can have loaded by then, each as fast as
+// the weight store gives it, without unloading anything.
+func idealServed() float64 {
+	fleet := newShiftedFleet(1)
+	asked, served := 0.0, 0.0
+	perLoad := (6400*time.Millisecond + orderDelay).Seconds()
+	for at := time.Duration(0); at < shiftLength; at += shiftStep {
+		loaded := at.Seconds() / perLoad * shiftTargets
+		for model := range popularModels {
+			replicas := 0
+			for index := range fleet.targets {
+				if holds(&fleet.targets[index], fmt.Sprintf("m%d", model)) {
+					replicas++
+				}
+			}
+			rate := popularRate(model, at)
+			asked += rate
+			served += min(rate, targetCapacity*min(float64(replicas)+loaded, shiftTargets))
+		}
+	}
+	return served / asked
+}
+
+func TestModelsToWhichDemandMovesAreServed(t *testing.T) {
+	ideal := idealServed()
+	for seed := range uint64(3) {
+		popular, rare := newShiftedFleet(seed).run(0)
+		t.Logf("seed %d: %.3f of the popular work served (ideal at most %.3f), %.3f of the requests for rare models", seed, popular, ideal, rare)
+		assert.Check(t, popular >= servedOfIdeal*ideal, "%.3f of the work asked for is served, %.3f is possible", popular, ideal)
+		assert.Check(t, rare >= servedOfIdeal, "%.3f of the requests for rare models are served", rare)
+	}
+}
