--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -29,7 +29,8 @@
 type modelState struct {
 	model     *directory.Model
 	observed  float64        // demand, tokens per second
-	rate      float64        // observed plus the floor
+	recent    float64        // the same over a longer time
+	rate      float64        // demand, plus the floor unless crowded
 	holders   []*targetState // targets that hold it once pending commands and loads are done
 	confirmed int            // usable targets that hold it now and are not to unload it
 	sumWork   float64        // of the holders
@@ -40,13 +41,16 @@
 	return modelState.rate / float64(max(holders, 1))
 }
 
+// asked returns the demand for the model, now or over a longer time, whichever is higher: a rarely
+// asked model has none between two requests.
+func (modelState *modelState) asked() float64 { return max(modelState.observed, modelState.recent) }
+
 // targetState is the planned state of a target.
 type targetState struct {
 	target    *Target
 	held      []int        // models that it holds once pending commands and loads are done
 	confirmed []int        // models that it holds now and is not to unload
-	idle      []int        // confirmed models that may be unloaded, those with the least work first
-	last      []int        // confirmed models without demand that no other target holds, if crowded
+	victims   []int        // confirmed models that may be unloaded, those that cost the least first
 	copies    map[int]bool // models of which it has a copy on disk (false) or in host memory (true)
 	free      float64      // megabytes
 	work      float64      // tokens per second
@@ -57,14 +61,19 @@
 // and the pending commands.
 func (planner *Planner) newDraft(service *directory.Service, targets []Target, now time.Time) *draft {
 	draft := &draft{service: service, numbers: map[string]int{}, unevaluated: true}
-	total, recentLoads, runningLoads := 0.0, 0, 0
+	recentLoads, runningLoads := 0, 0
 	for number, model := range service.Engine().Models {
-		observed := planner.observed(model.Name(), now)
-		rate := observed + floorTokensPerS
-		total += rate
-		draft.models = append(draft.models, modelState{model: model, observed: observed, rate: rate})
+		draft.models = append(draft.models, modelState{model: model})
 		draft.numbers[model.Name()] = number
 	}
+	usable := 0
+	for index := range targets {
+		if targets[index].Service == service.Name() && !targets[index].Unusable {
+			usable++
+		}
+	}
+	draft.crowded = draft.isCrowded(usable)
+	total := planner.setRates(draft, now)
 	overLimit := planner.overLimit(targets, service.Name(), total)
 	for index := range targets {
 		target := &targets[index]
@@ -93,14 +102,29 @@
 	if count := len(draft.states); count > 0 {
 		draft.meanWork = total / float64(count)
 	}
-	draft.crowded = draft.isCrowded()
 	draft.updateWork()
 	return draft
 }
 
-// isCrowded reports whether the targets cannot hold all models at once, by filling one target after
-// the other with the largest models that fit.
-func (draft *draft) isCrowded() bool {
+// setRates sets the demand and the rate of each model, and returns the sum of the rates.
+func (planner *Planner) setRates(draft *draft, now time.Time) float64 {
+	total := 0.0
+	for number := range draft.models {
+		modelState := &draft.models[number]
+		name := modelState.model.Name()
+		modelState.observed, modelState.recent = planner.observed(name, now)
+		modelState.rate = modelState.observed
+		if !draft.crowded {
+			modelState.rate += floorTokensPerS
+		}
+		total += modelState.rate
+	}
+	return total
+}
+
+// isCrowded reports whether a number of targets cannot hold all models at once, by filling one target
+// after the other with the largest models that fit.
+func (draft *draft) isCrowded(targets int) bool {
 	capacity := draft.service.Engine().MemoryMegabytes - draft.adapterReserve()
 	weights := make([]float64, 0, len(draft.models))
 	for _, modelState := range draft.models {
@@ -111,7 +135,7 @@
 	for _, weight := range weights {
 		fits := slices.IndexFunc(free, func(left float64) bool { return left >= weight })
 		if fits < 0 {
-			if len(free) == len(draft.states) || weight > capacity {
+			if len(free) == targets || weight > capacity {
 				return true
 			}
 			free, fits = append(free, capacity), len(free)
@@ -182,7 +206,7 @@
 			state.work += draft.workPerReplica(number)
 		}
 		draft.highestWork = max(draft.highestWork, state.work)
-		state.idle, state.last = draft.idleModels(state), draft.lastReplicas(state)
+		draft.updateVictims(state)
 	}
 	for number := range draft.models {
 		modelState := &draft.models[number]
@@ -199,46 +223,62 @@
 	return modelState.share(len(modelState.holders))
 }
 
-// idleModels returns the models of a target that may be unloaded, those with the least work
-// first: neither one whose only confirmed replica this is, nor one whose work here exceeds
-// maxVictimWork.
-func (draft *draft) idleModels(state *targetState) []int {
-	idle := state.idle[:0]
+// updateVictims sets the models that a target may unload. The last confirmed replica of a model may
+// go only if not all models fit, and if no other target is to hold the model; the cost of the move then
+// includes the penalty. A replica with much work stays, because an unload waits for its requests.
+func (draft *draft) updateVictims(state *targetState) {
+	state.victims = state.victims[:0]
+	if state.busy {
+		return
+	}
 	for _, number := range state.confirmed {
-		if draft.models[number].confirmed > 1 && draft.workPerReplica(number) <= maxVictimWork*draft.meanWork {
-			idle = append(idle, number)
+		modelState := &draft.models[number]
+		mayGo := modelState.confirmed > 1 || draft.crowded && len(modelState.holders) == 1
+		if mayGo && draft.workPerReplica(number) <= maxVictimWork*draft.meanWork {
+			state.victims = append(state.victims, number)
 		}
 	}
-	slices.SortFunc(idle, func(left, right int) int {
-		return cmp.Or(cmp.Compare(draft.workPerReplica(left), draft.workPerReplica(right)),
+	slices.SortFunc(state.victims, func(left, right int) int {
+		return cmp.Or(cmp.Compare(draft.unloadCost(left), draft.unloadCost(right)),
 			cmp.Compare(draft.models[left].model.Name(), draft.models[right].model.Name()))
 	})
-	return idle
 }
 
-// lastReplicas returns the models without demand of which a target holds the only confirmed replica,
-// if not all models fit.
-func (draft *draft) lastReplicas(state *targetState) []int {
-	last := state.last[:0]
-	for _, number := range state.confirmed {
-		if draft.crowded && draft.models[number].confirmed == 1 && draft.models[number].observed <= idleTokensPerS {
-			last = append(last, number)
-		}
+// unloadCost returns about what it costs that one target unloads a model.
+func (draft *draft) unloadCost(number int) float64 {
+	holders := float64(len(draft.models[number].holders))
+	if holders == 1 {
+		return draft.penalty(number)
 	}
-	slices.SortFunc(last, func(left, right int) int {
-		return cmp.Or(cmp.Compare(draft.models[left].observed, draft.models[right].observed),
-			cmp.Compare(draft.models[left].model.Name(), draft.models[right].model.Name()))
-	})
-	return last
+	work := draft.workPerReplica(number)
+	return work * work * holders / (holders - 1)
 }
 
-// victims returns the models that a target may unload for a model, in the order in which they go.
-func (draft *draft) victims(state *targetState, load int) []int {
-	modelState := &draft.models[load]
-	if len(modelState.holders) > 0 || modelState.observed <= askedTokensPerS {
-		return state.idle
+// chooseVictims returns the models that a target unloads to have memory for a model, false if it may
+// not unload enough: the ones that cost the least, without one that the later ones make needless.
+// The last replica of a model goes only for a model that is asked for more.
+func (draft *draft) chooseVictims(state *targetState, load int) ([]int, bool) {
+	megabytes, free := draft.models[load].model.WeightsMegabytes(), state.free
+	var victims []int
+	for _, victim := range state.victims {
+		if free >= megabytes || len(victims) == maxVictims {
+			break
+		}
+		if len(draft.models[victim].holders) == 1 && draft.models[victim].asked() >= draft.models[load].observed {
+			continue
+		}
+		free += draft.models[victim].model.WeightsMegabytes()
+		victims = append(victims, victim)
+	}
+	if free < megabytes {
+		return nil, false
+	}
+	for index, victim := range victims {
+		if free-draft.models[victim].model.WeightsMegabytes() >= megabytes {
+			return slices.Delete(victims, index, index+1), true
+		}
 	}
-	return append(slices.Clone(state.idle), state.last...)
+	return victims, true
 }
 
 // move loads a model on a target after unloading victims from it.
@@ -311,7 +351,12 @@
 	modelState := &draft.models[number]
 	shortest := min(modelState.model.HostLoadTime(), modelState.model.DiskLoadTime(), modelState.model.StoreLoadTime())
 	unloaded := 2 * draft.highestWork * maxVictims * maxVictimWork * draft.meanWork
-	return draft.relief(number) + unloaded - loadCostPerS*shortest.Seconds()*draft.meanWork*draft.meanWork
+	return draft.relief(number) + unloaded - draft.loadCost(shortest)
+}
+
+// loadCost returns the cost of a load.
+func (draft *draft) loadCost(loadTime time.Duration) float64 {
+	return loadCostPerS * loadTime.Seconds() * draft.meanWork * draft.meanWork
 }
 
 // relief returns by how much one more replica of a model lowers the cost of its holders and the
@@ -329,11 +374,11 @@
 // penalty returns the cost of holding a model nowhere. If not all models fit, one without demand
 // costs nothing.
 func (draft *draft) penalty(number int) float64 {
-	rate := draft.models[number].rate
+	modelState := &draft.models[number]
 	if draft.crowded {
-		rate = draft.models[number].observed
+		return displacedPenalty * modelState.asked() * max(modelState.asked(), draft.meanWork)
 	}
-	return unservedPenalty * rate * max(rate, draft.meanWork)
+	return unservedPenalty * modelState.rate * max(modelState.rate, draft.meanWork)
 }
 
 // evaluate returns the move that loads a model on a target, with its gain; false
@@ -346,18 +391,11 @@
 	if candidate.fromStore && draft.storeLoadBudget <= 0 {
 		return move{}, false
 	}
-	free, victims := state.free, 0
-	if free < model.WeightsMegabytes() {
-		unloadable := draft.victims(state, number)
-		for free < model.WeightsMegabytes() {
-			if victims == len(unloadable) || victims == maxVictims {
-				return move{}, false
-			}
-			free += draft.models[unloadable[victims]].model.WeightsMegabytes()
-			victims++
-		}
-		candidate.victims = unloadable[:victims]
+	victims, ok := draft.chooseVictims(state, number)
+	if !ok {
+		return move{}, false
 	}
+	candidate.victims = victims
 	loadTime := model.StoreLoadTime()
 	if copied {
 		loadTime = model.DiskLoadTime()
@@ -365,7 +403,7 @@
 	if inMemory {
 		loadTime = model.HostLoadTime()
 	}
-	candidate.gain = draft.costReduction(candidate) - loadCostPerS*loadTime.Seconds()*draft.meanWork*draft.meanWork
+	candidate.gain = draft.costReduction(candidate) - draft.loadCost(loadTime)
 	return candidate, true
 }
 
@@ -417,7 +455,7 @@
 func (draft *draft) commit(chosen move) {
 	state := chosen.state
 	state.busy = true
-	for _, victim := range slices.Clone(chosen.victims) { // they are part of state.idle
+	for _, victim := range chosen.victims {
 		modelState := &draft.models[victim]
 		modelState.confirmed--
 		modelState.holders = slices.DeleteFunc(modelState.holders, func(holder *targetState) bool { return holder == state })
--- a/kernel/residency/look.go
+++ b/kernel/residency/look.go
@@ -89,9 +89,10 @@
 func (draft *draft) look(commands []Command, full bool) *Look {
 	look := &Look{
 		usable: len(draft.states), loads: max(draft.storeLoadBudget, 0),
-		meanWork: draft.meanWork, mostWork: draft.highestWork, crowded: draft.crowded,
+		meanWork: draft.meanWork, crowded: draft.crowded,
 	}
 	for _, state := range draft.states {
+		look.mostWork = max(look.mostWork, state.work)
 		if state.busy {
 			look.busy++
 		}
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -22,15 +22,15 @@
 
 const (
 	demandTimeConstant = 1500 * time.Millisecond // demand shifts within a few seconds
+	recentTimeConstant = 6 * time.Second         // of the demand over a longer time, in which a rarely asked model is asked for again
 	floorTokensPerS    = 400.0                   // added to every model's demand, so that idle models stay resident too
 	unservedPenalty    = 40.0                    // penalty for a model that no target holds, as a multiple of its demand x max(its demand, mean work)
+	displacedPenalty   = 4.0                     // the same if not all models fit, so that busy models compete with rarely asked ones
 	loadCostPerS       = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
 	commandTimeout     = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
 	storeLoadFraction  = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
 	maxVictimWork      = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
 	maxVictims         = 2                       // models that one command unloads
-	idleTokensPerS     = 50.0                    // a model with less demand, some 5 s after its last request, may be unloaded everywhere if not all models fit
-	askedTokensPerS    = floorTokensPerS         // a model with more demand may take the place of one unloaded everywhere
 	maxSwaps           = 4                       // commands with an unload in one Plan call; the next call sees their effect
 )
 
@@ -72,7 +72,8 @@
 // demandEstimate is an exponentially decaying average of the demand for a model,
 // in tokens per second.
 type demandEstimate struct {
-	rate      float64
+	rate      float64 // over demandTimeConstant
+	recent    float64 // over recentTimeConstant
 	updatedAt time.Time
 }
 
@@ -91,6 +92,7 @@
 	}
 	estimate.decay(now)
 	estimate.rate += tokens / demandTimeConstant.Seconds()
+	estimate.recent += tokens / recentTimeConstant.Seconds()
 }
 
 func (demandEstimate *demandEstimate) decay(now time.Time) {
@@ -99,17 +101,19 @@
 		return
 	}
 	demandEstimate.rate *= math.Exp(-float64(elapsed) / float64(demandTimeConstant))
+	demandEstimate.recent *= math.Exp(-float64(elapsed) / float64(recentTimeConstant))
 	demandEstimate.updatedAt = now
 }
 
-// observed returns the demand for a model in tokens per second, without the floor.
-func (planner *Planner) observed(model string, now time.Time) float64 {
+// observed returns the demand for a model in tokens per second, without the floor, now and over a
+// longer time.
+func (planner *Planner) observed(model string, now time.Time) (rate, recent float64) {
 	estimate := planner.demand[model]
 	if estimate == nil {
-		return 0
+		return 0, 0
 	}
 	estimate.decay(now)
-	return estimate.rate
+	return estimate.rate, estimate.recent
 }
 
 // CommandFailed discards the pending command of a target whose agent refused it or
--- a/kernel/residency/shift_test.go
+++ b/kernel/residency/shift_test.go
@@ -27,6 +27,7 @@
 	atOnce          = 20 // loads from the weight store at full speed
 	popularModels   = 9  // of which three are popular at a time
 	shiftTargets    = 24
+	shiftForesight  = 6 * time.Second
 	servedOfIdeal   = 0.9 // of what a planner that knows the future demand serves
 )
 
@@ -226,10 +227,11 @@
 	}
 }
 
-// run returns the shares of the popular work and of the requests for rare models that are served by a planner that
-// is told the popular demand of a time ahead.
+// run returns the shares of the popular work and of the requests for rare models that a planner serves.
+// It is told the popular demand of a time ahead.
 func (fleet *shiftedFleet) run(ahead time.Duration) (popular, rare float64) {
 	planner := New(window)
+	planner.RecordRequestSize(requestWork)
 	recorded := map[int]int{} // requests for rare models
 	for at := time.Duration(0); at < shiftLength; at += shiftStep {
 		now := start.Add(at)
@@ -280,7 +282,30 @@
 	for seed := range uint64(3) {
 		popular, rare := newShiftedFleet(seed).run(0)
 		t.Logf("seed %d: %.3f of the popular work served (ideal at most %.3f), %.3f of the requests for rare models", seed, popular, ideal, rare)
+		foreseen, foreseenRare := newShiftedFleet(seed).run(shiftForesight)
+		t.Logf("with the demand of %v ahead: %.3f and %.3f", shiftForesight, foreseen, foreseenRare)
 		assert.Check(t, popular >= servedOfIdeal*ideal, "%.3f of the work asked for is served, %.3f is possible", popular, ideal)
 		assert.Check(t, rare >= servedOfIdeal, "%.3f of the requests for rare models are served", rare)
 	}
 }
+
+// crowdedTargets returns targets of a service with more models than they have memory for: one
+// holds the popular model m0, each of the others two rare ones.
+func crowdedTargets(count int) []Target {
+	targets := []Target{targetHolding("popular", "m0")}
+	for index := range count {
+		targets = append(targets, targetHolding(fmt.Sprintf("rare%d", index), fmt.Sprintf("m%d", 2*index+1), fmt.Sprintf("m%d", 2*index+2)))
+	}
+	return targets
+}
+
+func TestLastReplicasOfRareModelsKeepBusyModelFromIdleTargets(t *testing.T) {
+	planner := New(window)
+	planner.RecordDemand("m0", 60000, start)
+	for index := range 6 {
+		planner.RecordDemand(fmt.Sprintf("m%d", index+1), 100, start)
+	}
+	commands := planner.Plan(service(10), crowdedTargets(3), start)
+	loaded := slices.ContainsFunc(commands, func(command Command) bool { return command.Load == "m0" })
+	assert.Assert(t, loaded, "%v: %v", planner.LastLook("llm"), commands)
+}
