--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -21,6 +21,7 @@
 	highestWork     float64        // of a target
 	storeLoadBudget int            // loads from the weight store that may start
 	crowded         bool           // the targets have no memory for all models at once
+	mayReplace      bool           // the demand is known for long enough
 	best            []move         // best move that loads each model, as last evaluated; gain 0 or less for none
 	unevaluated     bool           // best is not set yet
 }
@@ -73,6 +74,7 @@
 		}
 	}
 	draft.crowded = draft.isCrowded(usable)
+	draft.mayReplace = !draft.crowded || planner.knowsDemand(now)
 	total := planner.setRates(draft, now)
 	overLimit := planner.overLimit(targets, service.Name(), total)
 	for index := range targets {
@@ -228,7 +230,7 @@
 // includes the penalty. A replica with much work stays, because an unload waits for its requests.
 func (draft *draft) updateVictims(state *targetState) {
 	state.victims = state.victims[:0]
-	if state.busy {
+	if state.busy || !draft.mayReplace {
 		return
 	}
 	for _, number := range state.confirmed {
@@ -331,8 +333,8 @@
 // gain 0 if there is none.
 func (draft *draft) bestMoveOf(number int) move {
 	var best move
-	if draft.gainBound(number) <= 0 {
-		return best
+	if !draft.mayReplace && len(draft.models[number].holders) > 0 || draft.gainBound(number) <= 0 {
+		return best // until the demand is known, only models that no target holds are loaded
 	}
 	for _, state := range draft.states {
 		if state.busy || slices.Contains(state.held, number) {
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -63,6 +63,7 @@
 // Planner keeps the demand for each model and the pending commands.
 type Planner struct {
 	demand     map[string]*demandEstimate
+	since      time.Time // of the first demand, zero before
 	pending    map[directory.TargetKey]pendingCommand
 	loadWindow time.Duration
 	meanSize   float64          // of a request, in tokens; 0 before the first one
@@ -85,6 +86,9 @@
 
 // RecordDemand adds requests for a number of tokens to a model's demand.
 func (planner *Planner) RecordDemand(model string, tokens float64, now time.Time) {
+	if planner.since.IsZero() {
+		planner.since = now
+	}
 	estimate := planner.demand[model]
 	if estimate == nil {
 		estimate = &demandEstimate{updatedAt: now}
@@ -116,6 +120,12 @@
 	return estimate.rate, estimate.recent
 }
 
+// knowsDemand reports whether the planner has known the demand for long enough to tell which models
+// are not asked for.
+func (planner *Planner) knowsDemand(now time.Time) bool {
+	return !planner.since.IsZero() && now.Sub(planner.since) >= demandTimeConstant
+}
+
 // CommandFailed discards the pending command of a target whose agent refused it or
 // did not answer.
 func (planner *Planner) CommandFailed(key directory.TargetKey) { delete(planner.pending, key) }
--- a/kernel/residency/planner_test.go
+++ b/kernel/residency/planner_test.go
@@ -136,9 +136,16 @@
 	return targets
 }
 
+// newInformedPlanner returns a planner that has known the demand, which was none, for a while.
+func newInformedPlanner() *Planner {
+	planner := New(window)
+	planner.since = start.Add(-time.Minute)
+	return planner
+}
+
 // drawPlanner draws a planner with a demand for each model.
 func drawPlanner(t *rapid.T, models int) *Planner {
-	planner := New(window)
+	planner := newInformedPlanner()
 	for index := range models {
 		if rapid.IntRange(0, 3).Draw(t, "asked") > 0 {
 			planner.RecordDemand(fmt.Sprintf("m%d", index), float64(rapid.IntRange(0, 90000).Draw(t, "tokens")), start)
@@ -220,7 +227,7 @@
 }
 
 func TestModelThatIsAskedForIsNeverLoadedAsOthersKeepTheirLastReplicas(t *testing.T) {
-	planner := New(window)
+	planner := newInformedPlanner()
 	targets := []Target{targetHolding("a", "m0", "m1"), targetHolding("b", "m2", "m3")}
 	for _, model := range []string{"m0", "m1", "m2", "m4"} {
 		planner.RecordDemand(model, 3000, start)
--- a/kernel/residency/shift_test.go
+++ b/kernel/residency/shift_test.go
@@ -300,7 +300,7 @@
 }
 
 func TestLastReplicasOfRareModelsKeepBusyModelFromIdleTargets(t *testing.T) {
-	planner := New(window)
+	planner := newInformedPlanner()
 	planner.RecordDemand("m0", 60000, start)
 	for index := range 6 {
 		planner.RecordDemand(fmt.Sprintf("m%d", index+1), 100, start)
@@ -309,3 +309,12 @@
 	loaded := slices.ContainsFunc(commands, func(command Command) bool { return command.Load == "m0" })
 	assert.Assert(t, loaded, "%v: %v", planner.LastLook("llm"), commands)
 }
+
+func TestModelsAreUnloadedBeforeTheirDemandIsKnown(t *testing.T) {
+	planner := New(window)
+	targets := []Target{targetHolding("a", "m0", "m1"), targetHolding("b", "m0", "m1"), targetHolding("c", "m0", "m2")}
+	planner.RecordDemand("m3", 3000, start)
+	for _, command := range planner.Plan(service(9), targets, start) {
+		assert.Equal(t, len(command.Unload), 0, "%v", command)
+	}
+}
