--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -22,6 +22,7 @@
 	storeLoadBudget int            // loads from the weight store that may start
 	crowded         bool           // the targets have no memory for all models at once
 	mayReplace      bool           // the demand is known for long enough
+	busy            int            // targets that are busy
 	best            []move         // best move that loads each model, as last evaluated; gain 0 or less for none
 	unevaluated     bool           // best is not set yet
 }
@@ -184,6 +185,9 @@
 	if hasPending {
 		add(pending.command.Load, false)
 	}
+	if state.busy {
+		draft.busy++
+	}
 	draft.states = append(draft.states, state)
 }
 
@@ -356,9 +360,16 @@
 	return draft.relief(number) + unloaded - draft.loadCost(shortest)
 }
 
-// loadCost returns the cost of a load.
+// loadCost returns the cost of a load. Where not all models fit, targets stand idle while others are
+// overloaded, so a load costs less; but a target loads one model at a time, so the more targets load,
+// the more a load must gain: those that are left may be needed for models whose demand rises.
 func (draft *draft) loadCost(loadTime time.Duration) float64 {
-	return loadCostPerS * loadTime.Seconds() * draft.meanWork * draft.meanWork
+	perS := loadCostPerS
+	if draft.crowded {
+		left := 1 - float64(draft.busy)/float64(max(len(draft.states), 1))
+		perS = crowdedLoadCostPerS / max(left, minTargetsLeft)
+	}
+	return perS * loadTime.Seconds() * draft.meanWork * draft.meanWork
 }
 
 // relief returns by how much one more replica of a model lowers the cost of its holders and the
@@ -457,6 +468,7 @@
 func (draft *draft) commit(chosen move) {
 	state := chosen.state
 	state.busy = true
+	draft.busy++
 	for _, victim := range chosen.victims {
 		modelState := &draft.models[victim]
 		modelState.confirmed--
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -21,17 +21,19 @@
 )
 
 const (
-	demandTimeConstant = 1500 * time.Millisecond // demand shifts within a few seconds
-	recentTimeConstant = 6 * time.Second         // of the demand over a longer time, in which a rarely asked model is asked for again
-	floorTokensPerS    = 400.0                   // added to every model's demand, so that idle models stay resident too
-	unservedPenalty    = 40.0                    // penalty for a model that no target holds, as a multiple of its demand x max(its demand, mean work)
-	displacedPenalty   = 4.0                     // the same if not all models fit, so that busy models compete with rarely asked ones
-	loadCostPerS       = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
-	commandTimeout     = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
-	storeLoadFraction  = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
-	maxVictimWork      = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
-	maxVictims         = 2                       // models that one command unloads
-	maxSwaps           = 4                       // commands with an unload in one Plan call; the next call sees their effect
+	demandTimeConstant  = 1500 * time.Millisecond // demand shifts within a few seconds
+	recentTimeConstant  = 6 * time.Second         // of the demand over a longer time, in which a rarely asked model is asked for again
+	floorTokensPerS     = 400.0                   // added to every model's demand, so that idle models stay resident too
+	unservedPenalty     = 40.0                    // penalty for a model that no target holds, as a multiple of its demand x max(its demand, mean work)
+	displacedPenalty    = 4.0                     // the same if not all models fit, so that busy models compete with rarely asked ones
+	loadCostPerS        = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
+	crowdedLoadCostPerS = 0.05                    // the same if not all models fit, while no target is busy
+	minTargetsLeft      = 0.05                    // least share of targets that are not busy, by which the cost of a load is divided
+	commandTimeout      = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
+	storeLoadFraction   = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
+	maxVictimWork       = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
+	maxVictims          = 2                       // models that one command unloads
+	maxSwaps            = 4                       // commands with an unload in one Plan call; the next call sees their effect
 )
 
 // Target is the last known state of a target.
--- a/kernel/residency/shift_test.go
+++ b/kernel/residency/shift_test.go
@@ -318,3 +318,23 @@
 		assert.Equal(t, len(command.Unload), 0, "%v", command)
 	}
 }
+
+func TestLoadsOfRareModelsOccupyAllTargets(t *testing.T) {
+	const leftForPopular = 0.25 // of the targets
+	planner := newInformedPlanner()
+	llm, fleet := shiftService(), newShiftedFleet(1)
+	for model := range popularModels {
+		planner.RecordDemand(fmt.Sprintf("m%d", model), popularRate(model, 0)*demandTimeConstant.Seconds(), start)
+	}
+	for model := range rareModels {
+		planner.RecordDemand(fmt.Sprintf("m%d", popularModels+model), requestWork, start)
+	}
+	busy := map[string]bool{}
+	for round := range 8 {
+		for _, command := range planner.Plan(llm, fleet.targets, start.Add(time.Duration(round)*shiftRound)) {
+			busy[command.Key.ID] = true
+		}
+	}
+	assert.Assert(t, len(busy) > 0, "no rare model is loaded")
+	assert.Assert(t, float64(len(busy)) <= (1-leftForPopular)*shiftTargets, "%d of %d targets load", len(busy), shiftTargets)
+}
