--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -32,7 +32,7 @@
 	model     *directory.Model
 	observed  float64        // demand, tokens per second
 	recent    float64        // the same over a longer time
-	rate      float64        // demand, plus the floor unless crowded
+	rate      float64        // forecast demand, plus the floor unless crowded
 	holders   []*targetState // targets that hold it once pending commands and loads are done
 	confirmed int            // usable targets that hold it now and are not to unload it
 	sumWork   float64        // of the holders
@@ -116,7 +116,7 @@
 		modelState := &draft.models[number]
 		name := modelState.model.Name()
 		modelState.observed, modelState.recent = planner.observed(name, now)
-		modelState.rate = modelState.observed
+		modelState.rate = planner.forecast(name, modelState.model.StoreLoadTime(), now)
 		if !draft.crowded {
 			modelState.rate += floorTokensPerS
 		}
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -23,6 +23,10 @@
 const (
 	demandTimeConstant  = 1500 * time.Millisecond // demand shifts within a few seconds
 	recentTimeConstant  = 6 * time.Second         // of the demand over a longer time, in which a rarely asked model is asked for again
+	trendTimeConstant   = 4 * time.Second         // of the average that shows with demandTimeConstant how demand changes
+	forecastDelay       = 2 * time.Second         // by which the averages are behind, and from a command to the start of its load
+	maxForecastGrowth   = 3.0                     // of demand until a load that begins now ends
+	chanceFactor        = 3.0                     // standard deviations by which demand differs by chance; requests come in groups
 	floorTokensPerS     = 400.0                   // added to every model's demand, so that idle models stay resident too
 	unservedPenalty     = 40.0                    // penalty for a model that no target holds, as a multiple of its demand x max(its demand, mean work)
 	displacedPenalty    = 4.0                     // the same if not all models fit, so that busy models compete with rarely asked ones
@@ -76,6 +80,7 @@
 // in tokens per second.
 type demandEstimate struct {
 	rate      float64 // over demandTimeConstant
+	trend     float64 // over trendTimeConstant
 	recent    float64 // over recentTimeConstant
 	updatedAt time.Time
 }
@@ -98,6 +103,7 @@
 	}
 	estimate.decay(now)
 	estimate.rate += tokens / demandTimeConstant.Seconds()
+	estimate.trend += tokens / trendTimeConstant.Seconds()
 	estimate.recent += tokens / recentTimeConstant.Seconds()
 }
 
@@ -107,6 +113,7 @@
 		return
 	}
 	demandEstimate.rate *= math.Exp(-float64(elapsed) / float64(demandTimeConstant))
+	demandEstimate.trend *= math.Exp(-float64(elapsed) / float64(trendTimeConstant))
 	demandEstimate.recent *= math.Exp(-float64(elapsed) / float64(recentTimeConstant))
 	demandEstimate.updatedAt = now
 }
@@ -122,12 +129,43 @@
 	return estimate.rate, estimate.recent
 }
 
+// correction returns the factor by which an average over a time constant is too low because the
+// planner has not known the demand for long.
+func (planner *Planner) correction(constant time.Duration, now time.Time) float64 {
+	return 1 / (1 - math.Exp(-float64(now.Sub(planner.since))/float64(constant)))
+}
+
 // knowsDemand reports whether the planner has known the demand for long enough to tell which models
 // are not asked for.
 func (planner *Planner) knowsDemand(now time.Time) bool {
 	return !planner.since.IsZero() && now.Sub(planner.since) >= demandTimeConstant
 }
 
+// forecast returns the demand for a model after a lead time: the average over trendTimeConstant, and
+// as far as the average over demandTimeConstant differs from it by more than chance, that and the change
+// that goes on until then.
+func (planner *Planner) forecast(model string, lead time.Duration, now time.Time) float64 {
+	estimate := planner.demand[model]
+	if estimate == nil {
+		return 0
+	}
+	estimate.decay(now)
+	if planner.meanSize == 0 || !planner.knowsDemand(now) {
+		return estimate.rate // what is chance is not known
+	}
+	rate := estimate.rate * planner.correction(demandTimeConstant, now)
+	trend := estimate.trend * planner.correction(trendTimeConstant, now)
+	chance := chanceFactor * math.Sqrt(chanceVariance*trend*planner.meanSize)
+	change := max(rate-trend-chance, 0) + min(rate-trend+chance, 0)
+	perS := change / (trendTimeConstant - demandTimeConstant).Seconds()
+	return min(max(trend+change+perS*(lead+forecastDelay).Seconds(), 0), maxForecastGrowth*max(rate, trend))
+}
+
+// chanceVariance is the variance of the difference between the averages over demandTimeConstant and
+// trendTimeConstant if demand is steady and requests arrive independently, as a multiple of the demand and the
+// size of a request, per second.
+var chanceVariance = 1/(2*demandTimeConstant.Seconds()) + 1/(2*trendTimeConstant.Seconds()) - 2/(demandTimeConstant+trendTimeConstant).Seconds()
+
 // CommandFailed discards the pending command of a target whose agent refused it or
 // did not answer.
 func (planner *Planner) CommandFailed(key directory.TargetKey) { delete(planner.pending, key) }
