--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -34,29 +34,28 @@
 // state is in this file, receiving in receiving.go, and commands to agents in
 // commands.go.
 type peers struct {
-	gateway           *Gateway
-	socket            *datagram.Socket                                 // set once by run, with mu held; nil before
-	lastCommand       atomic.Uint64                                    // number of the last command
-	sendNow           chan struct{}                                    // starts the next round of messages early
-	mu                sync.Mutex                                       // guards the fields below
-	rounds            uint64                                           // rounds of messages sent
-	nextReports       time.Time                                        // from when requestReports may ask all entries, but for requestBurst
-	reportsAskedAt    time.Time                                        // when requestReports last sent a message
-	left              bool                                             // the others have been notified that this instance has stopped
-	askers            []netip.AddrPort                                 // of this entry's spending, not answered yet
-	missingReportedAt time.Time                                        // when the planner was last notified of a missing model
-	modelMissing      bool                                             // since the last round, a request asked for a model that no target holds
-	entries           map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
-	results           map[uint64]chan *wire.CommandResult              // channels for the results of commands, by command ID
-	usedAdapters      map[directory.TargetKey]map[wire.AdapterUse]bool // adapters used since the last round
-	agentStates       map[directory.TargetKey]agentState               // last messages of agents
-	agentsSwept       time.Time                                        // when old messages of agents were last deleted
-	loadEnds          map[string]time.Time                             // when the first load of each model that is being loaded ends; replaced, not changed
-	demand            map[string]float64                               // demand by model since the start of the process, in prompt tokens
-	peerStates        map[netip.AddrPort]peerState                     // last messages of entries
-	plannerSeen       time.Time                                        // when this entry planned last, or a message of another one that plans arrived; at first its start
-	notices           *plannerNotices                                  // has no lock of its own
-	ownShare          *permit.Issuer                                   // of the share of permits of this entry
+	gateway            *Gateway
+	socket             *datagram.Socket                                 // set once by run, with mu held; nil before
+	lastCommand        atomic.Uint64                                    // number of the last command
+	sendNow            chan struct{}                                    // starts the next round of messages early
+	mu                 sync.Mutex                                       // guards the fields below
+	rounds             uint64                                           // rounds of messages sent
+	reportsRequestedAt time.Time                                        // when requestReports last sent a message
+	left               bool                                             // the others have been notified that this instance has stopped
+	askers             []netip.AddrPort                                 // of this entry's spending, not answered yet
+	missingReportedAt  time.Time                                        // when the planner was last notified of a missing model
+	modelMissing       bool                                             // since the last round, a request asked for a model that no target holds
+	entries            map[netip.AddrPort]time.Time                     // other entries and when their last message arrived or, before the first one, when they were added
+	results            map[uint64]chan *wire.CommandResult              // channels for the results of commands, by command ID
+	usedAdapters       map[directory.TargetKey]map[wire.AdapterUse]bool // adapters used since the last round
+	agentStates        map[directory.TargetKey]agentState               // last messages of agents
+	agentsSwept        time.Time                                        // when old messages of agents were last deleted
+	loadEnds           map[string]time.Time                             // when the first load of each model that is being loaded ends; replaced, not changed
+	demand             map[string]float64                               // demand by model since the start of the process, in prompt tokens
+	peerStates         map[netip.AddrPort]peerState                     // last messages of entries
+	plannerSeen        time.Time                                        // when this entry planned last, or a message of another one that plans arrived; at first its start
+	notices            *plannerNotices                                  // has no lock of its own
+	ownShare           *permit.Issuer                                   // of the share of permits of this entry
 }
 
 // agentState is an agent's last message, or the planner's for a target whose agent is silent, and
--- a/entry/gateway/reports.go
+++ b/entry/gateway/reports.go
@@ -13,9 +13,6 @@
 const (
 	reportRequestInterval     = 20 * time.Millisecond // between two requests for the reports of all entries, with fewer than entriesPerRequestInterval others
 	entriesPerRequestInterval = 4                     // each such number of other entries lengthens the time between two requests by reportRequestInterval
-	requestBurst              = 4                     // requests at once for the reports of all entries
-	reportRepeatInterval      = 40 * time.Millisecond // until reports that have not come are asked for again; replies are delayed by replyDelay
-	repeatPart                = 8                     // reports of at most this part of the entries are asked for again
 	replyDelay                = 20 * time.Millisecond // within which entries of a large fleet that ask for spending get one answer
 )
 
@@ -55,67 +52,27 @@
 
 // requestReports sends this instance's spending to all entries and asks for theirs. The
 // interval between two requests grows with the number of entries, so that the requests
-// and replies of a large fleet do not fill the links of small machines; an entry that has made
-// none for a while may make requestBurst of them. If only few reports of the last one have not come,
-// because messages were lost, it asks for these again.
+// and replies of a large fleet do not fill the links of small machines.
 func (peers *peers) requestReports() {
 	now := peers.gateway.clock.Now()
-	awaited := peers.awaitedReports(now)
-	receivers, toAll := peers.reportReceivers(awaited, now)
-	if len(receivers) == 0 {
+	peers.mu.Lock()
+	interval := reportRequestInterval * time.Duration(1+len(peers.entries)/entriesPerRequestInterval)
+	early := now.Sub(peers.reportsRequestedAt) < interval
+	if !early {
+		peers.reportsRequestedAt = now
+	}
+	peers.mu.Unlock()
+	if early {
 		return
 	}
-	state := peers.newState(toAll, now)
+	state := peers.newState(true, now)
 	state.ReportRequested, state.RateLeft = true, nil
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	if peers.socket == nil || peers.left {
 		return
 	}
-	peers.sendAll(receivers, state)
-}
-
-// awaitedReports returns the entries whose reports have not come since this one reported last.
-func (peers *peers) awaitedReports(now time.Time) []netip.AddrPort {
-	gateway := peers.gateway
-	gateway.mu.Lock()
-	names := gateway.limiter.Awaited(now)
-	gateway.mu.Unlock()
-	awaited := make([]netip.AddrPort, 0, len(names))
-	for _, name := range names {
-		address, err := netip.ParseAddrPort(name)
-		if err != nil {
-			gateway.log.Warnf("cannot parse the address %q of an entry, its report is not asked for: %v", name, err)
-			continue
-		}
-		awaited = append(awaited, address)
-	}
-	return awaited
-}
-
-// reportReceivers returns the entries that are to be asked for their reports now, none if that is
-// too early, and whether these are all.
-func (peers *peers) reportReceivers(awaited []netip.AddrPort, now time.Time) (receivers []netip.AddrPort, toAll bool) {
-	peers.mu.Lock()
-	defer peers.mu.Unlock()
-	age := now.Sub(peers.reportsAskedAt)
-	if len(awaited) > 0 && len(awaited) <= len(peers.entries)/repeatPart {
-		if age < reportRepeatInterval {
-			return nil, false
-		}
-		peers.reportsAskedAt = now
-		return awaited, false
-	}
-	if age < reportRequestInterval || now.Before(peers.nextReports) {
-		return nil, false
-	}
-	interval := reportRequestInterval * time.Duration(1+len(peers.entries)/entriesPerRequestInterval)
-	if earliest := now.Add(-(requestBurst - 1) * interval); peers.nextReports.Before(earliest) {
-		peers.nextReports = earliest
-	}
-	peers.nextReports = peers.nextReports.Add(interval)
-	peers.reportsAskedAt = now
-	return slices.Collect(maps.Keys(peers.entries)), true
+	peers.sendAll(slices.Collect(maps.Keys(peers.entries)), state)
 }
 
 // reply sends this instance's spending to an entry that has asked for it. In a large fleet, those
--- a/kernel/ratelimit/account.go
+++ b/kernel/ratelimit/account.go
@@ -189,24 +189,15 @@
 // entry has spent since. A round that an entry has asked for takes a few milliseconds.
 const settlementTTL = 20 * time.Millisecond
 
-// unseenFactor is by how much the fleet may spend faster than within the window while this entry
-// does not hear of it.
-const unseenFactor = 4
-
 // mayShare reports whether the cost is within this entry's share and its part of the
 // tolerance. Since one request may be larger than that, one whose predecessors are all
 // known to the others may take half of what was left, and all of it just after the
-// account was settled, without what the others may have spent since.
+// account was settled.
 func (account *account) mayShare(cost, left float64, all int, now time.Time) bool {
 	if account.unconfirmed+cost <= account.share+account.limit*shareTolerance/float64(all) {
 		return true
 	}
-	age, window := now.Sub(account.settledAt), account.timeSlices.Length()*windowSlices
-	left -= unseenFactor * account.spentWithinWindow(now) * age.Seconds() / window.Seconds()
-	if age >= settlementTTL {
-		left /= 2
-	}
-	return account.unconfirmed <= 0 && cost <= left
+	return account.unconfirmed <= 0 && (cost <= left/2 || now.Sub(account.settledAt) < settlementTTL)
 }
 
 // timeUntilLeft returns how long it takes until a part of the fleet may spend the amount.
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -167,20 +167,6 @@
 	}
 }
 
-// Awaited returns the names of the peers whose reports the open round waits for.
-func (limiter *Limiter) Awaited(now time.Time) []string {
-	if !limiter.roundOpen {
-		return nil
-	}
-	var names []string
-	for name, peer := range limiter.peers {
-		if !peer.reported && !limiter.silent(peer, now) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // endRound settles the accounts if the open round has ended, as of the time when the last of its
 // reports arrived.
 func (limiter *Limiter) endRound(arrivedAt, now time.Time) {
