--- a/kernel/residency/shift_test.go
+++ b/kernel/residency/shift_test.go
@@ -129,18 +129,18 @@
 }
 
 // serve spreads one step of the popular models' work, and answers the waiting requests for rare ones.
-func (fleet *shiftedFleet) serve(at time.Duration, rate func(int) float64) {
-	work := make([]float64, len(fleet.targets))
+func (shiftedFleet *shiftedFleet) serve(at time.Duration, rate func(int) float64) {
+	work := make([]float64, len(shiftedFleet.targets))
 	parts := make([][]float64, popularModels)
 	for model := range parts {
-		parts[model] = make([]float64, len(fleet.targets))
+		parts[model] = make([]float64, len(shiftedFleet.targets))
 	}
 	for range 6 {
 		for model := range popularModels {
 			var holders []int
 			var bases []float64
-			for index := range fleet.targets {
-				if holds(&fleet.targets[index], fmt.Sprintf("m%d", model)) {
+			for index := range shiftedFleet.targets {
+				if holds(&shiftedFleet.targets[index], fmt.Sprintf("m%d", model)) {
 					work[index] -= parts[model][index]
 					holders, bases = append(holders, index), append(bases, work[index])
 				}
@@ -156,34 +156,34 @@
 		}
 	}
 	for model := range popularModels {
-		fleet.asked += rate(model) * shiftStep.Seconds()
+		shiftedFleet.asked += rate(model) * shiftStep.Seconds()
 	}
 	for _, taken := range work {
-		fleet.served += min(taken, targetCapacity) * shiftStep.Seconds()
+		shiftedFleet.served += min(taken, targetCapacity) * shiftStep.Seconds()
 	}
 	for model := popularModels; model < popularModels+rareModels; model++ {
-		if fleet.random.Float64() < rareRequestRate*shiftStep.Seconds() {
-			fleet.waiting[model] = append(fleet.waiting[model], at)
-			fleet.rareAsked++
+		if shiftedFleet.random.Float64() < rareRequestRate*shiftStep.Seconds() {
+			shiftedFleet.waiting[model] = append(shiftedFleet.waiting[model], at)
+			shiftedFleet.rareAsked++
 		}
-		fleet.waiting[model] = slices.DeleteFunc(fleet.waiting[model], func(arrived time.Duration) bool { return at-arrived > rarePatience })
-		if slices.ContainsFunc(fleet.targets, func(target Target) bool { return holds(&target, fmt.Sprintf("m%d", model)) }) {
-			fleet.rare += len(fleet.waiting[model])
-			fleet.waiting[model] = nil
+		shiftedFleet.waiting[model] = slices.DeleteFunc(shiftedFleet.waiting[model], func(arrived time.Duration) bool { return at-arrived > rarePatience })
+		if slices.ContainsFunc(shiftedFleet.targets, func(target Target) bool { return holds(&target, fmt.Sprintf("m%d", model)) }) {
+			shiftedFleet.rare += len(shiftedFleet.waiting[model])
+			shiftedFleet.waiting[model] = nil
 		}
 	}
 }
 
 // advance ends and begins loads.
-func (fleet *shiftedFleet) advance(at time.Duration) {
+func (shiftedFleet *shiftedFleet) advance(at time.Duration) {
 	running := 0
-	for index := range fleet.targets {
-		target := &fleet.targets[index]
+	for index := range shiftedFleet.targets {
+		target := &shiftedFleet.targets[index]
 		for age := range target.StoreLoadAges {
 			target.StoreLoadAges[age] += shiftStep
 		}
 		target.StoreLoadAges = slices.DeleteFunc(target.StoreLoadAges, func(age time.Duration) bool { return age > 8*time.Second })
-		if target.Loading != "" && at >= fleet.loadEnds[target.Key] {
+		if target.Loading != "" && at >= shiftedFleet.loadEnds[target.Key] {
 			target.Report.Models = append(target.Report.Models, directory.ResidentModel{Model: target.Loading})
 			target.Report.DiskModels = append(target.Report.DiskModels, target.Loading)
 			target.Loading, target.Report.Busy = "", false
@@ -192,28 +192,28 @@
 			running++
 		}
 	}
-	for index := range fleet.targets {
-		target := &fleet.targets[index]
-		begins, ordered := fleet.loadBegins[target.Key]
+	for index := range shiftedFleet.targets {
+		target := &shiftedFleet.targets[index]
+		begins, ordered := shiftedFleet.loadBegins[target.Key]
 		if !ordered || at < begins {
 			continue
 		}
-		delete(fleet.loadBegins, target.Key)
-		model := fleet.service.Model(target.Loading)
+		delete(shiftedFleet.loadBegins, target.Key)
+		model := shiftedFleet.service.Model(target.Loading)
 		loadTime := model.DiskLoadTime()
 		if !slices.Contains(target.Report.DiskModels, target.Loading) {
 			loadTime = time.Duration(float64(model.StoreLoadTime()) * max(float64(running)/atOnce, 1))
 			target.StoreLoadAges = append(target.StoreLoadAges, 0)
 		}
-		fleet.loadEnds[target.Key] = at + loadTime
+		shiftedFleet.loadEnds[target.Key] = at + loadTime
 	}
 }
 
 // carryOut begins to carry out commands.
-func (fleet *shiftedFleet) carryOut(commands []Command, at time.Duration) {
+func (shiftedFleet *shiftedFleet) carryOut(commands []Command, at time.Duration) {
 	for _, command := range commands {
-		for index := range fleet.targets {
-			target := &fleet.targets[index]
+		for index := range shiftedFleet.targets {
+			target := &shiftedFleet.targets[index]
 			if target.Key != command.Key {
 				continue
 			}
@@ -221,36 +221,36 @@
 				return slices.Contains(command.Unload, residentModel.Model)
 			})
 			target.Loading, target.Report.Busy = command.Load, true
-			fleet.loadBegins[command.Key] = at + orderDelay
-			fleet.loadEnds[command.Key] = time.Duration(math.MaxInt64)
+			shiftedFleet.loadBegins[command.Key] = at + orderDelay
+			shiftedFleet.loadEnds[command.Key] = time.Duration(math.MaxInt64)
 		}
 	}
 }
 
 // run returns the shares of the popular work and of the requests for rare models that a planner serves.
 // It is told the popular demand of a time ahead.
-func (fleet *shiftedFleet) run(ahead time.Duration) (popular, rare float64) {
+func (shiftedFleet *shiftedFleet) run(ahead time.Duration) (popular, rare float64) {
 	planner := New(window)
 	planner.RecordRequestSize(requestWork)
 	recorded := map[int]int{} // requests for rare models
 	for at := time.Duration(0); at < shiftLength; at += shiftStep {
 		now := start.Add(at)
-		fleet.advance(at)
-		fleet.serve(at, func(model int) float64 { return popularRate(model, at) })
+		shiftedFleet.advance(at)
+		shiftedFleet.serve(at, func(model int) float64 { return popularRate(model, at) })
 		for model := range popularModels {
 			planner.RecordDemand(fmt.Sprintf("m%d", model), popularRate(model, at+ahead)*shiftStep.Seconds(), now)
 		}
 		for model := popularModels; model < popularModels+rareModels; model++ {
-			if count := len(fleet.waiting[model]); count > recorded[model] {
+			if count := len(shiftedFleet.waiting[model]); count > recorded[model] {
 				planner.RecordDemand(fmt.Sprintf("m%d", model), requestWork*float64(count-recorded[model]), now)
 			}
-			recorded[model] = len(fleet.waiting[model])
+			recorded[model] = len(shiftedFleet.waiting[model])
 		}
 		if at%shiftRound == 0 {
-			fleet.carryOut(planner.Plan(fleet.service, fleet.targets, now), at)
+			shiftedFleet.carryOut(planner.Plan(shiftedFleet.service, shiftedFleet.targets, now), at)
 		}
 	}
-	return fleet.served / fleet.asked, float64(fleet.rare) / float64(fleet.rareAsked)
+	return shiftedFleet.served / shiftedFleet.asked, float64(shiftedFleet.rare) / float64(shiftedFleet.rareAsked)
 }
 
 // idealServed returns an upper bound of the share of the popular work that any planner serves: one that knows
