--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -6,7 +6,9 @@
 // targets' work, with a penalty for models that no target holds; a command is issued
 // when it lowers the cost by more than its load costs. While the targets have memory for
 // all models, each model keeps a replica, whether requests ask for it or not. Otherwise
-// the models that are asked for take the places of those that are not. Loads from the weight store
+// the fleet is called crowded: a model that no target holds costs a penalty by its demand,
+// and its last replica may go for a model that is asked for more. Because a load takes
+// seconds, the demand is forecast where it changes by more than chance. Loads from the weight store
 // stay within the store's rate limit. The package does no I/O and is not safe for
 // concurrent use: package gateway sends the commands to the targets' agents, where
 // package orders turns them into orders. Package placement decides the same in
