--- a/kernel/residency/shift_test.go
+++ b/kernel/residency/shift_test.go
@@ -89,12 +89,14 @@
 	waiting         map[int][]time.Duration // arrivals of requests for rare models
 	asked, served   float64                 // work of popular models
 	rareAsked, rare int                     // requests for rare models, and those of them that were served
+	rareServed      map[int]int             // requests that were served, by rare model
 }
 
 func newShiftedFleet(seed uint64) *shiftedFleet {
 	fleet := &shiftedFleet{
 		service: shiftService(), random: rand.New(rand.NewPCG(seed, 0)), waiting: map[int][]time.Duration{},
 		loadEnds: map[directory.TargetKey]time.Duration{}, loadBegins: map[directory.TargetKey]time.Duration{},
+		rareServed: map[int]int{},
 	}
 	for index := range shiftTargets {
 		popular := 0
@@ -167,8 +169,9 @@
 			shiftedFleet.rareAsked++
 		}
 		shiftedFleet.waiting[model] = slices.DeleteFunc(shiftedFleet.waiting[model], func(arrived time.Duration) bool { return at-arrived > rarePatience })
-		if slices.ContainsFunc(shiftedFleet.targets, func(target Target) bool { return holds(&target, fmt.Sprintf("m%d", model)) }) {
+		if shiftedFleet.holds(model) {
 			shiftedFleet.rare += len(shiftedFleet.waiting[model])
+			shiftedFleet.rareServed[model] += len(shiftedFleet.waiting[model])
 			shiftedFleet.waiting[model] = nil
 		}
 	}
