Load models that requests have asked for in vain for too long

A model that requests have asked for in vain for 12 s, 20 s if a target held it since, is overdue and is loaded first, the longest wait first, at up to half of the targets at a time; its last replica stays for 6 s.

--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -23,21 +23,28 @@
 	crowded         bool           // the targets have no memory for all models at once
 	mayReplace      bool           // the demand is known for long enough
 	busy            int            // targets that are busy
+	totalWork       float64        // tokens per second
+	overdueLoads    int            // of overdue models that are under way
 	best            []move         // best move that loads each model, as last evaluated; gain 0 or less for none
 	unevaluated     bool           // best is not set yet
 }
 
 // modelState is the planned state of a model.
 type modelState struct {
-	model     *directory.Model
-	observed  float64        // demand, tokens per second
-	recent    float64        // the same over a longer time
-	rate      float64        // forecast demand, plus the floor unless crowded
-	holders   []*targetState // targets that hold it once pending commands and loads are done
-	confirmed int            // usable targets that hold it now and are not to unload it
-	sumWork   float64        // of the holders
+	model      *directory.Model
+	observed   float64        // demand, tokens per second
+	recent     float64        // the same over a longer time
+	rate       float64        // forecast demand, plus the floor unless crowded
+	holders    []*targetState // targets that hold it once pending commands and loads are done
+	confirmed  int            // usable targets that hold it now and are not to unload it
+	sumWork    float64        // of the holders
+	absent     float64        // for how long requests have asked for it while no target held it, as a multiple of the longest time for which they may
+	justLoaded bool           // for requests that asked for it in vain
 }
 
+// overdue reports whether requests have asked for the model in vain for too long.
+func (modelState *modelState) overdue() bool { return modelState.absent >= 1 }
+
 // share returns a model's work on each of a number of holders.
 func (modelState *modelState) share(holders int) float64 {
 	return modelState.rate / float64(max(holders, 1))
@@ -102,6 +109,8 @@
 	}
 	slices.SortFunc(draft.states, func(left, right *targetState) int { return cmp.Compare(left.target.Key.ID, right.target.Key.ID) })
 	draft.storeLoadBudget = planner.storeLoadBudget(service, recentLoads, runningLoads)
+	draft.totalWork = total
+	planner.setPresence(draft, now)
 	if count := len(draft.states); count > 0 {
 		draft.meanWork = total / float64(count)
 	}
@@ -125,6 +134,29 @@
 	return total
 }
 
+// setPresence sets for how long each model has been absent or present.
+func (planner *Planner) setPresence(draft *draft, now time.Time) {
+	for number := range draft.models {
+		modelState := &draft.models[number]
+		modelState.absent, modelState.justLoaded = planner.recordPresence(modelState.model.Name(), modelState.confirmed > 0, now)
+		if modelState.overdue() && len(modelState.holders) > 0 {
+			draft.overdueLoads++
+		}
+	}
+}
+
+// mayLoadOverdue reports whether another load of an overdue model may begin, so that these do not
+// take all targets from the models that are asked for most.
+func (draft *draft) mayLoadOverdue() bool {
+	return draft.overdueLoads < max(int(maxOverdueLoads*float64(len(draft.states))), 1)
+}
+
+// isOverdue reports whether a model is to be loaded whatever that costs.
+func (draft *draft) isOverdue(number int) bool {
+	modelState := &draft.models[number]
+	return modelState.overdue() && len(modelState.holders) == 0 && draft.mayLoadOverdue()
+}
+
 // isCrowded reports whether a number of targets cannot hold all models at once, by filling one target
 // after the other with the largest models that fit.
 func (draft *draft) isCrowded(targets int) bool {
@@ -231,7 +263,7 @@
 
 // updateVictims sets the models that a target may unload. The last confirmed replica of a model may
 // go only if not all models fit, and if no other target is to hold the model; the cost of the move then
-// includes the penalty. A replica with much work stays, because an unload waits for its requests.
+// includes the penalty.
 func (draft *draft) updateVictims(state *targetState) {
 	state.victims = state.victims[:0]
 	if state.busy || !draft.mayReplace {
@@ -240,7 +272,7 @@
 	for _, number := range state.confirmed {
 		modelState := &draft.models[number]
 		mayGo := modelState.confirmed > 1 || draft.crowded && len(modelState.holders) == 1
-		if mayGo && draft.workPerReplica(number) <= maxVictimWork*draft.meanWork {
+		if mayGo {
 			state.victims = append(state.victims, number)
 		}
 	}
@@ -260,9 +292,24 @@
 	return work * work * holders / (holders - 1)
 }
 
+// mayReplaceBy reports whether a target may unload a model for another one. A replica with much work
+// stays, because an unload waits for its requests, unless the other model is overdue for long. The last
+// replica of a model that is asked for stays for a while, for the requests that waited for it, and
+// then goes only for a model that is asked for more or is overdue.
+func (draft *draft) mayReplaceBy(victim, load int) bool {
+	replaced, overdue := &draft.models[victim], draft.isOverdue(load)
+	anyWork := overdue && draft.models[load].absent >= 2
+	if !anyWork && draft.workPerReplica(victim) > maxVictimWork*draft.meanWork {
+		return false
+	}
+	if len(replaced.holders) > 1 || replaced.asked() == 0 {
+		return true
+	}
+	return !replaced.justLoaded && (overdue || replaced.asked() < draft.models[load].observed)
+}
+
 // chooseVictims returns the models that a target unloads to have memory for a model, false if it may
 // not unload enough: the ones that cost the least, without one that the later ones make needless.
-// The last replica of a model goes only for a model that is asked for more.
 func (draft *draft) chooseVictims(state *targetState, load int) ([]int, bool) {
 	megabytes, free := draft.models[load].model.WeightsMegabytes(), state.free
 	var victims []int
@@ -270,7 +317,7 @@
 		if free >= megabytes || len(victims) == maxVictims {
 			break
 		}
-		if len(draft.models[victim].holders) == 1 && draft.models[victim].asked() >= draft.models[load].observed {
+		if !draft.mayReplaceBy(victim, load) {
 			continue
 		}
 		free += draft.models[victim].model.WeightsMegabytes()
@@ -388,6 +435,9 @@
 // costs nothing.
 func (draft *draft) penalty(number int) float64 {
 	modelState := &draft.models[number]
+	if draft.isOverdue(number) { // the one that has been absent the longest first
+		return overduePenalty * draft.totalWork * draft.totalWork * modelState.absent
+	}
 	if draft.crowded {
 		return displacedPenalty * modelState.asked() * max(modelState.asked(), draft.meanWork)
 	}
@@ -476,6 +526,9 @@
 		state.confirmed = slices.DeleteFunc(state.confirmed, func(number int) bool { return number == victim })
 		state.held = slices.DeleteFunc(state.held, func(number int) bool { return number == victim })
 	}
+	if draft.models[chosen.load].overdue() && len(draft.models[chosen.load].holders) == 0 {
+		draft.overdueLoads++
+	}
 	state.held = append(state.held, chosen.load)
 	draft.models[chosen.load].holders = append(draft.models[chosen.load].holders, state)
 	if chosen.fromStore {
--- a/kernel/residency/look.go
+++ b/kernel/residency/look.go
@@ -31,6 +31,7 @@
 	usable, busy, loads int
 	meanWork, mostWork  float64
 	crowded             bool
+	overdue             int
 	models              []ModelLook
 }
 
@@ -54,6 +55,9 @@
 // Loads returns how many more loads from the weight store could start.
 func (look *Look) Loads() int { return look.loads }
 
+// Overdue returns how many models no target holds although requests have asked for them for too long.
+func (look *Look) Overdue() int { return look.overdue }
+
 // Models returns the models with the most demand, the highest first, at most lookedModels.
 func (look *Look) Models() []ModelLook { return slices.Clone(look.models) }
 
@@ -76,8 +80,8 @@
 // (how many of them are ready) and its obstacle.
 func (look *Look) String() string {
 	text := &strings.Builder{}
-	fmt.Fprintf(text, "%d targets usable, %d of them busy, %d loads allowed, work %.0f (mean) and %.0f (most) tokens/s, crowded %t;",
-		look.usable, look.busy, look.loads, look.meanWork, look.mostWork, look.crowded)
+	fmt.Fprintf(text, "%d targets usable, %d of them busy, %d loads allowed, work %.0f (mean) and %.0f (most) tokens/s, crowded %t, %d models overdue;",
+		look.usable, look.busy, look.loads, look.meanWork, look.mostWork, look.crowded, look.overdue)
 	for _, model := range look.models {
 		fmt.Fprintf(text, " %s %.0f on %d (%d) %s,", model.name, model.demand, model.holders, model.ready, model.obstacle)
 	}
@@ -100,6 +104,9 @@
 	order := make([]int, len(draft.models))
 	for number := range order {
 		order[number] = number
+		if draft.models[number].overdue() {
+			look.overdue++
+		}
 	}
 	slices.SortFunc(order, func(left, right int) int {
 		return cmp.Or(cmp.Compare(draft.models[right].observed, draft.models[left].observed), cmp.Compare(left, right))
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -7,7 +7,9 @@
 // when it lowers the cost by more than its load costs. While the targets have memory for
 // all models, each model keeps a replica, whether requests ask for it or not. Otherwise
 // the fleet is called crowded: a model that no target holds costs a penalty by its demand,
-// and its last replica may go for a model that is asked for more. Because a load takes
+// and its last replica may go for a model that is asked for more. A model that requests have
+// waited for too long is overdue: it is loaded whatever that costs, a few of them at a time, so
+// that every model that is asked for is served now and then. Because a load takes
 // seconds, the demand is forecast where it changes by more than chance. Loads from the weight store
 // stay within the store's rate limit. The package does no I/O and is not safe for
 // concurrent use: package gateway sends the commands to the targets' agents, where
@@ -35,6 +37,12 @@
 	loadCostPerS        = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
 	crowdedLoadCostPerS = 0.05                    // the same if not all models fit, while no target is busy
 	minTargetsLeft      = 0.05                    // least share of targets that are not busy, by which the cost of a load is divided
+	maxFirstAbsence     = 12 * time.Second        // after which a model that requests ask for and no target has held since is overdue
+	maxAbsence          = 20 * time.Second        // the same for one that a target has held since it was first asked for
+	absenceRetention    = 2 * recentTimeConstant  // without requests, after which nobody waits for an absent model any more
+	minPresence         = 6 * time.Second         // for which an asked model's last replica is held before an overdue model replaces it
+	maxOverdueLoads     = 0.5                     // of the targets that load overdue models at a time; at least one does
+	overduePenalty      = 20.0                    // penalty for an overdue model, as a multiple of the square of all work: more than any move saves
 	commandTimeout      = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
 	storeLoadFraction   = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
 	maxVictimWork       = 0.15                    // replicas with more work than this fraction of the mean work per target are not unloaded, because an unload waits for their requests
@@ -85,6 +93,11 @@
 	trend     float64 // over trendTimeConstant
 	recent    float64 // over recentTimeConstant
 	updatedAt time.Time
+
+	askedAt     time.Time // of the last request
+	absentSince time.Time // since when requests ask for the model while no target holds it, zero if one does
+	loadedAt    time.Time // when a target first held the model after requests had asked for it in vain, zero before
+	presented   bool      // a target has held the model since it was first asked for
 }
 
 // New returns a planner without demand. Window is the interval over which the
@@ -104,6 +117,7 @@
 		planner.demand[model] = estimate
 	}
 	estimate.decay(now)
+	estimate.askedAt = now
 	estimate.rate += tokens / demandTimeConstant.Seconds()
 	estimate.trend += tokens / trendTimeConstant.Seconds()
 	estimate.recent += tokens / recentTimeConstant.Seconds()
@@ -131,6 +145,35 @@
 	return estimate.rate, estimate.recent
 }
 
+// recordPresence records whether a target holds a model now. It returns how long requests have asked
+// for it in vain (0 if they do not), as a multiple of the longest time for which they may, and whether
+// it has just been loaded for them.
+func (planner *Planner) recordPresence(model string, held bool, now time.Time) (absent float64, justLoaded bool) {
+	estimate := planner.demand[model]
+	if estimate == nil {
+		return 0, false // nobody has asked for it
+	}
+	if held {
+		if !estimate.absentSince.IsZero() {
+			estimate.absentSince, estimate.loadedAt = time.Time{}, now
+		}
+		estimate.presented = true
+		return 0, !estimate.loadedAt.IsZero() && now.Sub(estimate.loadedAt) < minPresence
+	}
+	switch {
+	case now.Sub(estimate.askedAt) > absenceRetention:
+		estimate.absentSince = time.Time{}
+		return 0, false
+	case estimate.absentSince.IsZero():
+		estimate.absentSince = now
+	}
+	longest := maxFirstAbsence
+	if estimate.presented {
+		longest = maxAbsence
+	}
+	return float64(now.Sub(estimate.absentSince)) / float64(longest), false
+}
+
 // correction returns the factor by which an average over a time constant is too low because the
 // planner has not known the demand for long.
 func (planner *Planner) correction(constant time.Duration, now time.Time) float64 {
