Replace an owner of customers' rates that stops or answers late at once

Callers of a customer whose owner stops, as in a restart of all entries in turn, were refused until the planner had counted it as silent and its right had ended, up to 17 s at 103 entries; those of an owner on a machine that runs slowly for as long as that lasted.

An owner that begins to stop, or that reads ten questions and half of all of a second too late, resigns: it grants nothing from then on and says so to the planner, which names another one in its next notice. The vacancy of 8 s is not needed, since the owner itself has ended its right. Tests: TestResignedOwnerIsReplacedAtOnce, TestSlowOwnerKeepsItsCustomersWaiting and TestStoppingOwnerGoesOnGranting; without the change the first two cannot be written, the third fails.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -308,6 +308,7 @@
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
 	gateway.planner.release(ctx)
+	gateway.peers.resign(gateway.options.Grace)
 	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
 	gateway.stopEnd.Store(&end)
 	drainEnd := end.Add(-maxPlainDuration)
--- a/entry/gateway/grants.go
+++ b/entry/gateway/grants.go
@@ -14,6 +14,9 @@
 
 const (
 	grantTimeout   = 80 * time.Millisecond  // for the answer of a customer's owner, which takes a few milliseconds
+	resignTime     = 10 * time.Second       // for which an owner that answers late grants nothing
+	lateWindow     = time.Second            // over which late questions are counted
+	minLate        = 10                     // late questions within lateWindow, and half of all, from which on an owner resigns
 	lostOwnerRetry = 100 * time.Millisecond // until an owner that did not answer, or that is not named yet, is asked again
 )
 
@@ -94,6 +97,11 @@
 func (peers *peers) answerGrantRequest(from netip.AddrPort, request *wire.GrantRequest, arrivedAt time.Time) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
+	if peers.lateGrants.tooMany(now.Sub(arrivedAt) >= grantTimeout, now) {
+		gateway.metrics.Add("grants.resigned", 1)
+		gateway.log.Infof("grants nothing for %v, since too many questions lay unread", resignTime)
+		peers.resign(resignTime)
+	}
 	if now.Sub(arrivedAt) >= grantTimeout {
 		gateway.metrics.Add("grants.late", 1)
 		return
@@ -103,10 +111,32 @@
 	peers.send(from, &wire.CommandResult{ID: request.ID, Done: granted, RetryAfter: wait, Excess: granted && charge.Excess()})
 }
 
+// lateGrants counts the questions that an owner reads late. Only the goroutine that receives messages uses it.
+type lateGrants struct {
+	since       time.Time
+	late, asked int
+}
+
+// tooMany counts a question, and reports whether too many are late.
+func (lateGrants *lateGrants) tooMany(late bool, now time.Time) bool {
+	if now.Sub(lateGrants.since) >= lateWindow {
+		lateGrants.since, lateGrants.late, lateGrants.asked = now, 0, 0
+	}
+	lateGrants.asked++
+	if late {
+		lateGrants.late++
+	}
+	if !late || lateGrants.late < minLate || 2*lateGrants.late < lateGrants.asked {
+		return false
+	}
+	lateGrants.late, lateGrants.asked = 0, 0
+	return true
+}
+
 // rateOwners returns the owners to name in a notice, and applies them to this entry, which plans with the fence.
 func (planRunner *planRunner) rateOwners(fence uint64) []wire.RateOwner {
 	gateway := planRunner.gateway
-	reachable := gateway.peers.grantingEntries()
+	reachable, resigned := gateway.peers.grantingEntries()
 	now := gateway.clock.Now()
 	gateway.mu.Lock()
 	last, arrivedAt := gateway.limiter.Owners()
@@ -116,7 +146,7 @@
 		planRunner.ownersFence = fence
 		planRunner.owners.Open(last, arrivedAt, now)
 	}
-	owners := planRunner.owners.Update(reachable, now)
+	owners := planRunner.owners.Update(reachable, resigned, now)
 	planRunner.mu.Unlock()
 	gateway.applyOwners(owners, now)
 	named := make([]wire.RateOwner, 0, len(owners))
@@ -141,24 +171,48 @@
 	return owners
 }
 
-// grantingEntries returns the addresses of this entry and of those that it has lately heard of, none
-// if one of them does not answer requests for grants.
-func (peers *peers) grantingEntries() []string {
-	now := peers.gateway.clock.Now()
+// grantingEntries returns the addresses of this entry and of those that it has lately heard of, and of
+// those of them that have resigned; none if one of them does not answer requests for grants.
+func (peers *peers) grantingEntries() (reachable, resigned []string) {
+	gateway := peers.gateway
+	now := gateway.clock.Now()
+	self := peers.ownAddress().String()
+	gateway.mu.Lock()
+	if gateway.limiter.Resigned(now) {
+		resigned = append(resigned, self)
+	}
+	gateway.mu.Unlock()
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	timeout := grantingPeriods * peers.interval()
-	entries := []string{peers.ownAddress().String()}
+	reachable = append(reachable, self)
 	for address, last := range peers.peerStates {
-		if peers.gateway.silence(last.at, now) >= timeout {
+		if gateway.silence(last.at, now) >= timeout {
 			continue
 		}
 		if !last.answersGrants {
-			return nil
+			return nil, nil
 		}
-		entries = append(entries, address.String())
+		reachable = append(reachable, address.String())
+		if last.grantsNothing {
+			resigned = append(resigned, address.String())
+		}
+	}
+	return reachable, resigned
+}
+
+// resign lets this entry grant nothing for a while, and tells the planner.
+func (peers *peers) resign(duration time.Duration) {
+	gateway := peers.gateway
+	now := gateway.clock.Now()
+	gateway.withLock(func() { gateway.limiter.Resign(now.Add(duration)) })
+	planner, known := peers.plannerAddress()
+	if !known || !peers.large() {
+		return // in a small fleet there are no owners; without a planner the next round of messages tells all entries
 	}
-	return entries
+	state := peers.newState(false, now)
+	state.RateLeft = nil
+	peers.sendEach([]netip.AddrPort{planner}, state)
 }
 
 // grantingPeriods is the number of rounds of messages without one of an entry after which it is not
--- a/entry/gateway/grants_test.go
+++ b/entry/gateway/grants_test.go
@@ -61,6 +61,12 @@
 	return asker, owner, customer
 }
 
+// spentAt returns what an entry reports that the customer c has spent there.
+func spentAt(gateway *Gateway) (spent float64) {
+	gateway.withLock(func() { spent = gateway.limiter.Report(gateway.clock.Now()).Spent["c"] })
+	return spent
+}
+
 func newRateCall(gateway *Gateway, customer *directory.Customer, tokens int) *call {
 	now := gateway.clock.Now()
 	return &call{gateway: gateway, ctx: context.Background(), customer: customer, head: RequestHead{Prompt: tokens}, arrived: now, deadline: now.Add(time.Minute)}
@@ -78,10 +84,10 @@
 	fake := clock.NewFake(time.Unix(1000, 0))
 	asker, owner, customer := newOwnedPair(t, fake)
 	owner.peers.answerGrantRequest(netip.MustParseAddrPort("127.0.0.1:1"), &wire.GrantRequest{ID: 1, Customer: "c", Cost: 800}, fake.Now().Add(-grantTimeout))
-	assert.Equal(t, owner.limiter.Report(fake.Now()).Spent["c"], 0.0)
+	assert.Equal(t, spentAt(owner), 0.0)
 	assert.Assert(t, newRateCall(asker, customer, 800).charge() == nil)
-	assert.Equal(t, owner.limiter.Report(fake.Now()).Spent["c"], 800.0)
-	assert.Equal(t, asker.limiter.Report(fake.Now()).Spent["c"], 0.0)
+	assert.Equal(t, spentAt(owner), 800.0)
+	assert.Equal(t, spentAt(asker), 0.0)
 }
 
 func TestOwnersAreNamedBeforeAllEntriesAnswer(t *testing.T) {
@@ -90,7 +96,35 @@
 	for index := range 40 {
 		gateway.peers.receiveEntry(netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", index+1)), &wire.EntryState{Incarnation: 1, AnswersGrants: true}, fake.Now())
 	}
-	assert.Equal(t, len(gateway.peers.grantingEntries()), 41)
+	reachable, resigned := gateway.peers.grantingEntries()
+	assert.Equal(t, len(reachable), 41)
+	assert.Equal(t, len(resigned), 0)
 	gateway.peers.receiveEntry(netip.MustParseAddrPort("10.0.1.1:1"), &wire.EntryState{Incarnation: 1}, fake.Now())
-	assert.Equal(t, len(gateway.peers.grantingEntries()), 0)
+	reachable, _ = gateway.peers.grantingEntries()
+	assert.Equal(t, len(reachable), 0)
+}
+
+func TestSlowOwnerKeepsItsCustomersWaiting(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	_, owner, _ := newOwnedPair(t, fake)
+	from := netip.MustParseAddrPort("127.0.0.1:1")
+	for id := range uint64(minLate) {
+		assert.Assert(t, !owner.limiter.Resigned(fake.Now()))
+		owner.peers.answerGrantRequest(from, &wire.GrantRequest{ID: id, Customer: "c", Cost: 1}, fake.Now().Add(-grantTimeout))
+	}
+	assert.Assert(t, owner.limiter.Resigned(fake.Now()))
+	assert.Assert(t, owner.peers.newState(false, fake.Now()).GrantsNothing)
+	fake.Advance(resignTime)
+	assert.Assert(t, !owner.limiter.Resigned(fake.Now()))
+}
+
+func TestStoppingOwnerGoesOnGranting(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	_, owner, _ := newOwnedPair(t, fake)
+	_, _, granted := owner.grant("c", 1, fake.Now())
+	assert.Assert(t, granted)
+	owner.options.Grace = time.Minute
+	owner.peers.resign(owner.options.Grace)
+	_, _, granted = owner.grant("c", 1, fake.Now())
+	assert.Assert(t, !granted)
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -55,6 +55,7 @@
 	peerStates         map[netip.AddrPort]peerState                     // last messages of entries
 	plannerSeen        time.Time                                        // when this entry planned last, or a message of another one that plans arrived; at first its start
 	notices            *plannerNotices                                  // has no lock of its own
+	lateGrants         lateGrants                                       // has no lock; for the goroutine that receives messages
 	ownShare           *permit.Issuer                                   // of the share of permits of this entry
 }
 
@@ -74,6 +75,7 @@
 	demand        map[string]float64
 	planFence     uint64
 	answersGrants bool
+	grantsNothing bool
 	versions      map[wire.DocumentKind]uint64 // of its documents
 	firstAt       time.Time                    // arrival of the first message of the incarnation
 	at            time.Time
@@ -214,6 +216,7 @@
 	if toAll {
 		gateway.limiter.MarkReported(now)
 	}
+	state.GrantsNothing = gateway.limiter.Resigned(now)
 	setReport(state, gateway.limiter.Report(now))
 	state.Suspects = evidence.Encode(gateway.quarantine.Report(now))
 	state.Limits = gateway.limitReports(now)
--- a/entry/gateway/receiving.go
+++ b/entry/gateway/receiving.go
@@ -121,7 +121,7 @@
 		firstAt = before.firstAt
 	}
 	peers.peerStates[from] = peerState{
-		firstAt: firstAt, incarnation: state.Incarnation, demand: demand, planFence: state.PlanFence, answersGrants: state.AnswersGrants, at: arrivedAt,
+		firstAt: firstAt, incarnation: state.Incarnation, demand: demand, planFence: state.PlanFence, answersGrants: state.AnswersGrants, grantsNothing: state.GrantsNothing, at: arrivedAt,
 		versions: map[wire.DocumentKind]uint64{wire.DocumentConfig: state.Version, wire.DocumentTargets: state.ListVersion},
 	}
 	return !sameIncarnation
--- a/kernel/ratelimit/grant.go
+++ b/kernel/ratelimit/grant.go
@@ -20,6 +20,15 @@
 	return limiter.ownership.owners, limiter.ownership.arrivedAt
 }
 
+// Resign lets this entry grant nothing for a while, so that it can be replaced as an owner at once.
+func (limiter *Limiter) Resign(until time.Time) {
+	limiter.ownership.resigned = until
+	limiter.ownership.held = [ownerSlots]bool{}
+}
+
+// Resigned reports whether this entry grants nothing although it may be named as an owner.
+func (limiter *Limiter) Resigned(now time.Time) bool { return now.Before(limiter.ownership.resigned) }
+
 // Owned reports whether owners grant what is not within an entry's share.
 func (limiter *Limiter) Owned(now time.Time) bool {
 	return limiter.ownership.inForce(limiter.peerTimeout(), now)
--- a/kernel/ratelimit/owners.go
+++ b/kernel/ratelimit/owners.go
@@ -57,8 +57,9 @@
 }
 
 // Update returns the owners to name now, one for each slot, or none in a small fleet. Reachable are
-// the entries of the fleet that have lately been heard of.
-func (owners *Owners) Update(reachable []string, now time.Time) []Owner {
+// the entries of the fleet that have lately been heard of, resigned those of them that have said that they
+// grant nothing; such an owner is replaced at once.
+func (owners *Owners) Update(reachable, resigned []string, now time.Time) []Owner {
 	least := ownedEntries
 	if owners.named {
 		least /= 2
@@ -72,16 +73,22 @@
 	}
 	owned := map[string]int{} // slots by owner
 	for index := range owners.slots {
-		if address := owners.slots[index].address; address != "" && !slices.Contains(reachable, address) {
+		switch address := owners.slots[index].address; {
+		case address == "":
+		case slices.Contains(resigned, address):
+			owners.slots[index] = ownerSlot{vacantUntil: now}
+		case !slices.Contains(reachable, address):
 			owners.vacate(index, now)
+		default:
+			owned[address]++
 		}
-		owned[owners.slots[index].address]++
 	}
+	candidates := slices.DeleteFunc(slices.Clone(reachable), func(address string) bool { return slices.Contains(resigned, address) })
 	named := make([]Owner, ownerSlots)
 	for index := range owners.slots {
 		slot := &owners.slots[index]
-		if slot.address == "" && !now.Before(slot.vacantUntil) {
-			slot.address, slot.namedAt = chooseOwner(index, reachable, owned), now
+		if slot.address == "" && !now.Before(slot.vacantUntil) && len(candidates) > 0 {
+			slot.address, slot.namedAt = chooseOwner(index, candidates, owned), now
 			owned[slot.address]++
 		}
 		if slot.address != "" {
@@ -98,9 +105,9 @@
 }
 
 // chooseOwner returns one of the entries that own the fewest slots, by a hash, so that planners choose alike.
-func chooseOwner(slot int, reachable []string, owned map[string]int) string {
+func chooseOwner(slot int, candidates []string, owned map[string]int) string {
 	best, bestHash := "", uint64(0)
-	for _, address := range reachable {
+	for _, address := range candidates {
 		hash := hashOf(string(rune(slot)) + address)
 		if best == "" || owned[address] < owned[best] || owned[address] == owned[best] && hash > bestHash {
 			best, bestHash = address, hash
@@ -124,6 +131,7 @@
 	owners    []Owner // of the last notice that named owners, nil before the first one
 	arrivedAt time.Time
 	held      [ownerSlots]bool // slots for which this entry has granted without a break
+	resigned  time.Time        // until when this entry grants nothing, zero if it has not resigned
 }
 
 // apply records the owners of a notice. One without owners ends nothing by itself: the time since
@@ -161,5 +169,5 @@
 
 // holds reports whether this entry may grant requests of a slot's customers.
 func (ownership *ownership) holds(slot int, now time.Time) bool {
-	return ownership.self != "" && ownership.owner(slot, now) == ownership.self && ownership.owners[slot].Age >= grantDelay
+	return ownership.self != "" && ownership.owner(slot, now) == ownership.self && ownership.owners[slot].Age >= grantDelay && !now.Before(ownership.resigned)
 }
--- a/kernel/ratelimit/owners_test.go
+++ b/kernel/ratelimit/owners_test.go
@@ -23,16 +23,17 @@
 
 // namingFleet is a fleet whose planner names owners. Entries are lost, and return without memory.
 type namingFleet struct {
-	now     time.Time
-	entries []ownership
-	fences  []int // of the last notice at each entry
-	numbers []int // the same
-	lost    []bool
-	planner int // entry that plans, everyEntry for none
-	fence   int
-	number  int
-	owners  Owners
-	transit []noticeInTransit
+	now      time.Time
+	entries  []ownership
+	fences   []int // of the last notice at each entry
+	numbers  []int // the same
+	lost     []bool
+	planner  int // entry that plans, everyEntry for none
+	fence    int
+	number   int
+	owners   Owners
+	resigned []string
+	transit  []noticeInTransit
 }
 
 func newNamingFleet(count int) *namingFleet {
@@ -67,7 +68,7 @@
 			}
 		}
 		namingFleet.number++
-		named := namingFleet.owners.Update(reachable, namingFleet.now)
+		named := namingFleet.owners.Update(reachable, namingFleet.resigned, namingFleet.now)
 		for index := range namingFleet.entries {
 			arrives := namingFleet.now
 			if index != namingFleet.planner {
@@ -179,6 +180,20 @@
 	assert.Assert(t, fleet.entries[fleet.planner].owner(5, fleet.now) != "")
 }
 
+func TestResignedOwnerIsReplacedAtOnce(t *testing.T) {
+	fleet := newNamingFleet(ownedEntries)
+	fleet.plan(0)
+	for fleet.now.Before(start.Add(ownerVacancy + 2*noticeStep)) {
+		fleet.step([]time.Duration{0})
+	}
+	before := fleet.entries[0].owner(3, fleet.now)
+	assert.Assert(t, before != "")
+	fleet.resigned = []string{before}
+	fleet.step([]time.Duration{0})
+	after := fleet.entries[0].owner(3, fleet.now)
+	assert.Assert(t, after != "" && after != before, "owner %q after %q", after, before)
+}
+
 func TestSmallFleetHasNoOwners(t *testing.T) {
 	fleet := newNamingFleet(ownedEntries - 1)
 	fleet.plan(0)
--- a/kernel/wire/datagram.go
+++ b/kernel/wire/datagram.go
@@ -49,6 +49,7 @@
 	Admitted         []uint64       // sent by the planner: origins of the software versions at which streams may begin
 	HoldsOrders      bool           // sent by the planner to an agent: the planner gives the orders to the agent's target
 	AnswersGrants    bool           // the sender answers a GrantRequest
+	GrantsNothing    bool           // the sender has resigned as an owner of customers' rates
 }
 
 // AdapterUse names an adapter that requests used, and its base model.
@@ -269,6 +270,7 @@
 	}
 	writer.bool(23, entryState.HoldsOrders)
 	writer.bool(24, entryState.AnswersGrants)
+	writer.bool(25, entryState.GrantsNothing)
 }
 
 func (entryState *EntryState) setField(number protowire.Number, value fieldValue) {
@@ -333,6 +335,8 @@
 		entryState.HoldsOrders = value.bool()
 	case 24:
 		entryState.AnswersGrants = value.bool()
+	case 25:
+		entryState.GrantsNothing = value.bool()
 	}
 }
 
