Borrow from as many entries as hold what one request needs

In the product's own path, too, a request is refused though its customer has its burst unused, once the share of one entry is small against it: an entry asked four others for tokens, whatever the size of the fleet. At 103 and 330 entries a request of 5,000 tokens of a burst of 94,000 was refused (4 and 29 passed).

An entry asks as many others as hold what is missing, if each lends a quarter of its share of the burst; 4 to 64. The test failed before at 103 and 330 entries and passes at all four sizes. Not measured: what the questions cost at 330 entries.

--- a/entry/entry/shares.go
+++ b/entry/entry/shares.go
@@ -238,7 +238,6 @@
 }
 
 const (
-	maxLenders    = 4                      // entries that tokens are requested from in parallel
 	borrowBackoff = 100 * time.Millisecond // time without borrowing for a customer, after entries lent less than was missing
 	borrowFactor  = 2                      // ratio of the tokens requested to those missing
 )
@@ -249,7 +248,10 @@
 		return false
 	}
 	peers := shares.Peers()
-	count := min(len(peers), maxLenders)
+	count := 0
+	shares.withLock(func(inner *quota.Limiter, now time.Time) {
+		count = min(len(peers), inner.Lenders(customer, missing, now))
+	})
 	requestedAt := shares.entry.Clock().Now()
 	ctx, cancel := context.WithTimeout(context.Background(), shares.entry.Values().Duration("quota.loan_timeout"))
 	defer cancel()
--- a/kernel/quota/limiter.go
+++ b/kernel/quota/limiter.go
@@ -249,6 +249,27 @@
 	return tokens
 }
 
+// Limits of the number of entries that are asked for tokens in parallel.
+const (
+	minLenders = 4
+	maxLenders = 64
+)
+
+// lentPart is the part of its share of the burst that another entry is expected to lend: half of its
+// level, which is half of the share on average.
+const lentPart = 0.25
+
+// Lenders returns how many other entries to ask for missing tokens. The smaller the shares, the more
+// entries hold what one request needs.
+func (limiter *Limiter) Lenders(customer string, missing float64, now time.Time) int {
+	limit, _ := limiter.limits(customer)
+	expected := lentPart * limit.Burst * float64(limiter.units.valid(now)) / TotalUnits
+	if expected <= 0 {
+		return minLenders
+	}
+	return int(min(max(math.Ceil(missing/expected), minLenders), maxLenders))
+}
+
 // AddBorrowed adds tokens that another entry lent in answer to a request sent at
 // requestedAt. The loan is counted from then, so that it ends here before it ends
 // at the lender.
