--- a/kernel/ratelimit/grant.go
+++ b/kernel/ratelimit/grant.go
@@ -39,9 +39,9 @@
 	return limiter.ownership.owner(slotOf(customer), now)
 }
 
-// Grant charges the cost of a request at any entry to a customer whose owner this entry is. A part of what
-// may be spent at once is left to the shares of the other entries. If ok is false, wait
-// is as returned by Take, and 0 if this entry is not the owner.
+// Grant charges the cost of a request at any entry, in cost units, to a customer whose owner this
+// entry is. A part of what may be spent at once is left to the shares of the entries. If ok is false,
+// wait is as returned by Take, and 0 if this entry is not the owner.
 func (limiter *Limiter) Grant(customer string, cost float64, now time.Time) (charge Charge, wait time.Duration, ok bool) {
 	account := limiter.accounts[customer]
 	if account == nil || account.rate <= 0 {
--- a/kernel/ratelimit/limiter.go
+++ b/kernel/ratelimit/limiter.go
@@ -208,8 +208,8 @@
 // used up, ok is false and wait is an estimate, at most maxRetryAfter, of the time
 // until the request can be admitted. Wait is 0 if the request is within the limit but
 // not within this entry's share, or if reports of the others may not have been read: it
-// may be admitted when the other entries have reported or, if Owned, by the customer's owner. A customer without a rate limit is
-// always admitted.
+// may be admitted when the other entries have reported or, in a fleet with owners, by the
+// customer's owner. A customer without a rate limit is always admitted.
 func (limiter *Limiter) Take(customer string, cost float64, now time.Time) (charge Charge, wait time.Duration, ok bool) {
 	account := limiter.accounts[customer]
 	if account == nil || account.rate <= 0 {
--- a/kernel/ratelimit/owners.go
+++ b/kernel/ratelimit/owners.go
@@ -57,8 +57,8 @@
 }
 
 // Update returns the owners to name now, one for each slot, or none in a small fleet. Reachable are
-// the entries of the fleet that have lately been heard of, resigned those of them that have said that they
-// grant nothing; such an owner is replaced at once.
+// the entries that have lately been heard of, resigned those of them that have said that they grant
+// nothing; such an owner is replaced at once.
 func (owners *Owners) Update(reachable, resigned []string, now time.Time) []Owner {
 	least := ownedEntries
 	if owners.named {
@@ -104,7 +104,7 @@
 	}
 }
 
-// chooseOwner returns one of the entries that own the fewest slots, by a hash, so that planners choose alike.
+// chooseOwner returns one of the entries that own the fewest slots, by a hash.
 func chooseOwner(slot int, candidates []string, owned map[string]int) string {
 	best, bestHash := "", uint64(0)
 	for _, address := range candidates {
@@ -152,9 +152,9 @@
 	}
 }
 
-// inForce reports whether owners may grant, so that this entry keeps to ownedShare. The timeout is the time after which a
-// silent entry is not counted on: the parts of a partitioned fleet go back to even shares
-// only after that.
+// inForce reports whether owners may grant, so that this entry keeps to ownedShare. The timeout is the
+// time after which an entry counts as silent: the parts of a partitioned fleet go back to even
+// shares only after that.
 func (ownership *ownership) inForce(timeout time.Duration, now time.Time) bool {
 	return ownership.owners != nil && clock.Elapsed(ownership.arrivedAt, now) < max(ownerTTL, timeout)+ownershipMargin
 }
--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -24,7 +24,7 @@
 	mayReplace      bool           // the demand is known for long enough
 	busy            int            // targets that are busy
 	totalWork       float64        // tokens per second
-	overdueLoads    int            // of overdue models that are under way
+	overdueLoads    int            // loads of overdue models that are under way
 	best            []move         // best move that loads each model, as last evaluated; gain 0 or less for none
 	unevaluated     bool           // best is not set yet
 }
@@ -38,7 +38,7 @@
 	holders    []*targetState // targets that hold it once pending commands and loads are done
 	confirmed  int            // usable targets that hold it now and are not to unload it
 	sumWork    float64        // of the holders
-	absent     float64        // for how long requests have asked for it while no target held it, as a multiple of the longest time for which they may
+	absent     float64        // as returned by Planner.recordPresence
 	justLoaded bool           // for requests that asked for it in vain
 }
 
--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -8,8 +8,8 @@
 // all models, each model keeps a replica, whether requests ask for it or not. Otherwise
 // the fleet is called crowded: a model that no target holds costs a penalty by its demand,
 // and its last replica may go for a model that is asked for more. A model that requests have
-// waited for too long is overdue: it is loaded whatever that costs, a few of them at a time, so
-// that every model that is asked for is served now and then. Because a load takes
+// asked for in vain for too long is overdue: it is loaded whatever that costs, some of them at a
+// time, so that every model that is asked for is served now and then. Because a load takes
 // seconds, the demand is forecast where it changes by more than chance. Loads from the weight store
 // stay within the store's rate limit. The package does no I/O and is not safe for
 // concurrent use: package gateway sends the commands to the targets' agents, where
@@ -37,10 +37,10 @@
 	loadCostPerS        = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
 	crowdedLoadCostPerS = 0.05                    // the same if not all models fit, while no target is busy
 	minTargetsLeft      = 0.05                    // least share of targets that are not busy, by which the cost of a load is divided
-	maxFirstAbsence     = 12 * time.Second        // after which a model that requests ask for and no target has held since is overdue
-	maxAbsence          = 20 * time.Second        // the same for one that a target has held since it was first asked for
+	maxFirstAbsence     = 12 * time.Second        // after which a model that requests ask for in vain is overdue if no target has held it since the first one
+	maxAbsence          = 20 * time.Second        // the same if a target has held it since the first one
 	absenceRetention    = 2 * recentTimeConstant  // without requests, after which nobody waits for an absent model any more
-	minPresence         = 6 * time.Second         // for which an asked model's last replica is held before an overdue model replaces it
+	minPresence         = 6 * time.Second         // for which the last replica of a model stays that was loaded for requests that asked for it in vain
 	maxOverdueLoads     = 0.5                     // of the targets that load overdue models at a time; at least one does
 	overduePenalty      = 20.0                    // penalty for an overdue model, as a multiple of the square of all work: more than any move saves
 	commandTimeout      = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
