Load overdue models sooner once and rarely again

A model is now overdue after 9 s if no target has held it since the first request, after 60 s otherwise, and a third of the targets load overdue models at a time instead of half.

--- a/kernel/residency/planner.go
+++ b/kernel/residency/planner.go
@@ -37,11 +37,11 @@
 	loadCostPerS        = 0.15                    // cost of each second of a load, as a fraction of the squared mean work
 	crowdedLoadCostPerS = 0.05                    // the same if not all models fit, while no target is busy
 	minTargetsLeft      = 0.05                    // least share of targets that are not busy, by which the cost of a load is divided
-	maxFirstAbsence     = 12 * time.Second        // after which a model that requests ask for in vain is overdue if no target has held it since the first one
-	maxAbsence          = 20 * time.Second        // the same if a target has held it since the first one
+	maxFirstAbsence     = 9 * time.Second         // after which a model that requests ask for in vain is overdue if no target has held it since the first one
+	maxAbsence          = 60 * time.Second        // the same if a target has held it since the first one
 	absenceRetention    = 2 * recentTimeConstant  // without requests, after which nobody waits for an absent model any more
-	minPresence         = 6 * time.Second         // for which the last replica of a model stays that was loaded for requests that asked for it in vain
-	maxOverdueLoads     = 0.5                     // of the targets that load overdue models at a time; at least one does
+	minPresence         = 4 * time.Second         // for which the last replica of a model stays that was loaded for requests that asked for it in vain
+	maxOverdueLoads     = 0.33                    // of the targets that load overdue models at a time; at least one does
 	overduePenalty      = 20.0                    // penalty for an overdue model, as a multiple of the square of all work: more than any move saves
 	commandTimeout      = 4 * time.Second         // a command of this age counts as lost if its target has no load or order in progress
 	storeLoadFraction   = 0.85                    // concurrent loads that the weight store serves at full speed, as a fraction of load rate x longest load
