Keep whole shares until the first owners are named

After a kill of all entries nearly all requests were refused: a new planner named sixteen vacant slots for the 8 s in which owners of before may still grant, and entries restricted themselves to a tenth of their shares meanwhile.

The planner names no slots until it can name the first owner, and entries keep their whole shares for another second, half a second less than an owner waits before its first grant. TestSharesShrinkBeforeOwnersAreNamed failed before.

--- a/kernel/ratelimit/owners.go
+++ b/kernel/ratelimit/owners.go
@@ -16,7 +16,8 @@
 	ownedEntries    = 33                      // entries from which on a fleet has owners; it keeps them while it has half as many
 	ownerTTL        = 6 * time.Second         // for which an owner grants after the last notice that names it; a lost planner is replaced within some 4 s
 	ownerVacancy    = 8 * time.Second         // from the last notice that names an owner to the first one that names another; covers ownerTTL and slow links
-	grantDelay      = 1500 * time.Millisecond // from the naming of an owner to its first grant, by when entries keep to ownedShare
+	grantDelay      = 1500 * time.Millisecond // from the naming of an owner to its first grant
+	shareDelay      = time.Second             // from the naming of the first owners until entries keep to ownedShare; shorter than grantDelay
 	ownershipMargin = 500 * time.Millisecond  // by which entries keep to ownedShare for longer than owners grant
 	ownedShare      = 0.1                     // of its even share, what an entry may spend without asking the owner
 )
@@ -30,8 +31,9 @@
 // Owners is the table of owners that the planner keeps. The zero value names none. It is not safe
 // for concurrent use.
 type Owners struct {
-	slots [ownerSlots]ownerSlot
-	named bool // the last call of Update returned owners
+	slots  [ownerSlots]ownerSlot
+	large  bool // the fleet was large enough for owners in the last call of Update
+	formed bool // an owner has been named since Open, or went on over it
 }
 
 type ownerSlot struct {
@@ -53,19 +55,20 @@
 		}
 		owners.slots[index].vacantUntil = now.Add(ownerVacancy)
 	}
-	owners.named = continued
+	owners.large, owners.formed = continued, continued
 }
 
-// Update returns the owners to name now, one for each slot, or none in a small fleet. Reachable are
-// the entries that have lately been heard of, resigned those of them that have said that they grant
+// Update returns the owners to name now, one for each slot. It returns none in a small fleet, and until
+// the first owner can be named, so that entries keep their whole shares that long. Reachable are the entries that have lately been heard of, resigned those of them that have said that they grant
 // nothing; such an owner is replaced at once.
 func (owners *Owners) Update(reachable, resigned []string, now time.Time) []Owner {
 	least := ownedEntries
-	if owners.named {
+	if owners.large {
 		least /= 2
 	}
-	owners.named = len(reachable) >= least
-	if !owners.named {
+	owners.large = len(reachable) >= least
+	if !owners.large {
+		owners.formed = false
 		for index := range owners.slots {
 			owners.vacate(index, now)
 		}
@@ -92,9 +95,13 @@
 			owned[slot.address]++
 		}
 		if slot.address != "" {
+			owners.formed = true
 			named[index] = Owner{Address: slot.address, Age: now.Sub(slot.namedAt)}
 		}
 	}
+	if !owners.formed {
+		return nil
+	}
 	return named
 }
 
@@ -156,7 +163,13 @@
 // time after which an entry counts as silent: the parts of a partitioned fleet go back to even
 // shares only after that.
 func (ownership *ownership) inForce(timeout time.Duration, now time.Time) bool {
-	return ownership.owners != nil && clock.Elapsed(ownership.arrivedAt, now) < max(ownerTTL, timeout)+ownershipMargin
+	return ownership.owners != nil && !ownership.forming(now) && clock.Elapsed(ownership.arrivedAt, now) < max(ownerTTL, timeout)+ownershipMargin
+}
+
+// forming reports whether all owners have just been named, so that none grants yet and none has before.
+func (ownership *ownership) forming(now time.Time) bool {
+	elapsed := clock.Elapsed(ownership.arrivedAt, now)
+	return !slices.ContainsFunc(ownership.owners, func(owner Owner) bool { return owner.Address == "" || owner.Age+elapsed >= shareDelay })
 }
 
 // owner returns the address of the owner of a slot, empty if none is known.
--- a/kernel/ratelimit/owners_test.go
+++ b/kernel/ratelimit/owners_test.go
@@ -180,6 +180,26 @@
 	assert.Assert(t, fleet.entries[fleet.planner].owner(5, fleet.now) != "")
 }
 
+// After a kill of all entries customers would be refused until the first owners grant.
+func TestSharesShrinkBeforeOwnersAreNamed(t *testing.T) {
+	fleet := newNamingFleet(ownedEntries)
+	for range 2 {
+		fleet.plan(0)
+		for range int(ownerVacancy / noticeStep) {
+			fleet.step([]time.Duration{0})
+			assert.Assert(t, !fleet.entries[1].inForce(period, fleet.now), "shares are restricted %v after the start", fleet.now.Sub(start))
+		}
+		for named := fleet.now; fleet.now.Sub(named) < shareDelay-noticeStep; fleet.step([]time.Duration{0}) {
+			assert.Assert(t, !fleet.entries[1].inForce(period, fleet.now), "shares are restricted %v after the start", fleet.now.Sub(start))
+		}
+		fleet.step([]time.Duration{0})
+		assert.Assert(t, fleet.entries[1].inForce(period, fleet.now))
+		for index := range fleet.entries {
+			fleet.restart(index)
+		}
+	}
+}
+
 func TestResignedOwnerIsReplacedAtOnce(t *testing.T) {
 	fleet := newNamingFleet(ownedEntries)
 	fleet.plan(0)
