Split the victims and the overdue models from the draft of a plan

Callers see nothing: functions moved to victims.go and overdue.go as they were, and two comments in the gateway reworded.

--- a/entry/gateway/grants.go
+++ b/entry/gateway/grants.go
@@ -201,14 +201,14 @@
 	return reachable, resigned
 }
 
-// resign lets this entry grant nothing for a while, and tells the planner.
+// resign lets this entry grant nothing for a while, and notifies the planner.
 func (peers *peers) resign(duration time.Duration) {
 	gateway := peers.gateway
 	now := gateway.clock.Now()
 	gateway.withLock(func() { gateway.limiter.Resign(now.Add(duration)) })
 	planner, known := peers.plannerAddress()
 	if !known || !peers.large() {
-		return // in a small fleet there are no owners; without a planner the next round of messages tells all entries
+		return // in a small fleet there are no owners; without a planner the next round of messages reports it
 	}
 	state := peers.newState(false, now)
 	state.RateLeft = nil
--- a/kernel/residency/draft.go
+++ b/kernel/residency/draft.go
@@ -134,29 +134,6 @@
 	return total
 }
 
-// setPresence sets for how long each model has been absent or present.
-func (planner *Planner) setPresence(draft *draft, now time.Time) {
-	for number := range draft.models {
-		modelState := &draft.models[number]
-		modelState.absent, modelState.justLoaded = planner.recordPresence(modelState.model.Name(), modelState.confirmed > 0, now)
-		if modelState.overdue() && len(modelState.holders) > 0 {
-			draft.overdueLoads++
-		}
-	}
-}
-
-// mayLoadOverdue reports whether another load of an overdue model may begin, so that these do not
-// take all targets from the models that are asked for most.
-func (draft *draft) mayLoadOverdue() bool {
-	return draft.overdueLoads < max(int(maxOverdueLoads*float64(len(draft.states))), 1)
-}
-
-// isOverdue reports whether a model is to be loaded whatever that costs.
-func (draft *draft) isOverdue(number int) bool {
-	modelState := &draft.models[number]
-	return modelState.overdue() && len(modelState.holders) == 0 && draft.mayLoadOverdue()
-}
-
 // isCrowded reports whether a number of targets cannot hold all models at once, by filling one target
 // after the other with the largest models that fit.
 func (draft *draft) isCrowded(targets int) bool {
@@ -261,79 +238,6 @@
 	return modelState.share(len(modelState.holders))
 }
 
-// updateVictims sets the models that a target may unload. The last confirmed replica of a model may
-// go only if not all models fit, and if no other target is to hold the model; the cost of the move then
-// includes the penalty.
-func (draft *draft) updateVictims(state *targetState) {
-	state.victims = state.victims[:0]
-	if state.busy || !draft.mayReplace {
-		return
-	}
-	for _, number := range state.confirmed {
-		modelState := &draft.models[number]
-		mayGo := modelState.confirmed > 1 || draft.crowded && len(modelState.holders) == 1
-		if mayGo {
-			state.victims = append(state.victims, number)
-		}
-	}
-	slices.SortFunc(state.victims, func(left, right int) int {
-		return cmp.Or(cmp.Compare(draft.unloadCost(left), draft.unloadCost(right)),
-			cmp.Compare(draft.models[left].model.Name(), draft.models[right].model.Name()))
-	})
-}
-
-// unloadCost returns about what it costs that one target unloads a model.
-func (draft *draft) unloadCost(number int) float64 {
-	holders := float64(len(draft.models[number].holders))
-	if holders == 1 {
-		return draft.penalty(number)
-	}
-	work := draft.workPerReplica(number)
-	return work * work * holders / (holders - 1)
-}
-
-// mayReplaceBy reports whether a target may unload a model for another one. A replica with much work
-// stays, because an unload waits for its requests, unless the other model is overdue for long. The last
-// replica of a model that is asked for stays for a while, for the requests that waited for it, and
-// then goes only for a model that is asked for more or is overdue.
-func (draft *draft) mayReplaceBy(victim, load int) bool {
-	replaced, overdue := &draft.models[victim], draft.isOverdue(load)
-	anyWork := overdue && draft.models[load].absent >= 2
-	if !anyWork && draft.workPerReplica(victim) > maxVictimWork*draft.meanWork {
-		return false
-	}
-	if len(replaced.holders) > 1 || replaced.asked() == 0 {
-		return true
-	}
-	return !replaced.justLoaded && (overdue || replaced.asked() < draft.models[load].observed)
-}
-
-// chooseVictims returns the models that a target unloads to have memory for a model, false if it may
-// not unload enough: the ones that cost the least, without one that the later ones make needless.
-func (draft *draft) chooseVictims(state *targetState, load int) ([]int, bool) {
-	megabytes, free := draft.models[load].model.WeightsMegabytes(), state.free
-	var victims []int
-	for _, victim := range state.victims {
-		if free >= megabytes || len(victims) == maxVictims {
-			break
-		}
-		if !draft.mayReplaceBy(victim, load) {
-			continue
-		}
-		free += draft.models[victim].model.WeightsMegabytes()
-		victims = append(victims, victim)
-	}
-	if free < megabytes {
-		return nil, false
-	}
-	for index, victim := range victims {
-		if free-draft.models[victim].model.WeightsMegabytes() >= megabytes {
-			return slices.Delete(victims, index, index+1), true
-		}
-	}
-	return victims, true
-}
-
 // move loads a model on a target after unloading victims from it.
 type move struct {
 	state     *targetState
