--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -11,6 +11,9 @@
 )
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "replica" {
+		serveStreams(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: bed CASE ROOT DIR")
 		os.Exit(2)
@@ -23,7 +26,7 @@
 		os.Exit(2)
 	}()
 	time.AfterFunc(115*time.Second, func() { check(fmt.Errorf("the case has not ended in time")) })
-	run := map[string]func(root, dir string, trouble bool) int{"order": order}[os.Args[1]]
+	run := map[string]func(root, dir string, trouble bool) int{"order": order, "early": early}[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(2)
