--- a/review/bed/memory.go
+++ b/review/bed/memory.go
@@ -16,10 +16,10 @@
 const (
 	memoryEntries  = 2
 	memoryReplicas = 4
-	memoryWaves    = 3
-	memoryUsers    = 72                      // that come at once to one entry
-	memorySending  = 2600 * time.Millisecond // for which each of them sends its request: 72 x 4 MiB in it are 930 Mbit/s
-	memoryParts    = 52                      // in which a request is sent
+	memoryWaves    = 5
+	memoryUsers    = 84                      // that come at once to one entry
+	memorySending  = 2900 * time.Millisecond // for which each of them sends its request: 84 x 4 MiB in it are 972 Mbit/s
+	memoryParts    = 58                      // in which a request is sent
 	memoryLimit    = 284 << 20               // Limits.MemoryMb
 	memoryBody     = 4194304                 // Limits.MaxBodyBytes of the configuration
 	memoryUsual    = 28000                   // the largest body of the site file
