--- a/kernel/head/head.go
+++ b/kernel/head/head.go
@@ -26,7 +26,8 @@
 
 // Read reads the head of the next response, which may be an interim one (1xx) and must fit into the
 // reader's buffer. A head that is not valid gives an error marked with ErrInvalid as soon as the line
-// that shows it has come, and the end of the connection before a head io.EOF.
+// that shows it has come. The end of the connection gives io.EOF before a head and
+// io.ErrUnexpectedEOF within one.
 func Read(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	if _, _, err := await(reader); err != nil {
 		return err
@@ -54,7 +55,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			return 0, 0, errors.Wrapf(ErrInvalid, "no end within %d bytes", len(unread))
 		case errors.Is(err, io.EOF) && len(unread) > 0:
-			return 0, 0, errors.Wrapf(ErrInvalid, "the connection ends after %d bytes", len(unread))
+			return 0, 0, errors.Wrapf(io.ErrUnexpectedEOF, "after %d bytes of a head", len(unread))
 		default:
 			return 0, 0, err
 		}
