Do not report a request as not run because its last attempt was not sent

What callers saw (product's own path): a request that two targets had run and answered with a broken head, or with a closed connection, was refused with 503 and ran "no". A caller may take that for leave to send it again, and the customer's charge was refunded.

Cause: after the attempts that failed, no target was left for a further one. Its fault, which states truthfully of itself that nothing was sent, was returned for the whole request.

Change: the fault of the last attempt states that the request has not run only if that is known of the earlier ones too, for plain services and for completions.

Evidence: TestPromiseRequestThatRanBeforeIsNotReportedAsNotRun failed before: ran "no" after four sends.

--- a/endiverill/internal/promise/stream_test.go
+++ b/endiverill/internal/promise/stream_test.go
@@ -90,3 +90,26 @@
 	cancel()
 	waitFor(t, "the engine is idle", func() bool { return running.Engine("engine-4").Running() == 0 })
 }
+
+// Both engines of a model run a request and close its connection; then no other target is left.
+func TestPromiseRequestThatRanBeforeIsNotReportedAsNotRun(t *testing.T) {
+	running, spec := startDeployment(t, fastTokens)
+	caller := newCaller(t, running, 0, spec.Keys["editors"])
+	received := func() (count int) {
+		for _, name := range []string{"engine-1", "engine-2"} { // those that hold the model aster
+			count += len(running.Engine(name).RecordedRequests())
+		}
+		return count
+	}
+	for _, name := range []string{"engine-1", "engine-2"} {
+		running.Engine(name).SetFaults(engine.Faults{CutAfter: 1})
+	}
+	for range 10 {
+		before := received()
+		got, err := caller.Do("POST", "/v1/completions", []byte(`{"model":"aster","prompt":"x","max_tokens":4}`), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, received() > 0)
+		assert.Assert(t, got.Status() >= 500, "status %d", got.Status())
+		assert.Assert(t, got.Ran() != "no" || received() == before, "ran %q after %d sends: %q", got.Ran(), received()-before, got.Body())
+	}
+}
--- a/entry/entry/completion.go
+++ b/entry/entry/completion.go
@@ -29,6 +29,7 @@
 	identity        []quarantine.Part
 	routeRequest    route.Request
 	attempts        int
+	ran             code.Ran // known from all attempts so far
 	attempt         *attempt
 	generatedTokens int // sent to the caller so far; for a unary response, as many as max_tokens
 	ctx             context.Context
@@ -92,7 +93,7 @@
 	request.Stream = prompt.stream
 	request.Tokens = prompt.reservedTokens()
 	completion := &completion{
-		entry: entry, call: call, prompt: prompt, request: request, identity: identityOf(request), groupName: groupOf(call.snapshot, model, adapter),
+		entry: entry, call: call, prompt: prompt, request: request, identity: identityOf(request), groupName: groupOf(call.snapshot, model, adapter), ran: code.RanNo,
 		routeRequest: route.Request{Prefix: prompt.prefixHash, Random: prompt.prefixHash ^ uint64(call.receivedAt.UnixNano())},
 	}
 	completion.ctx, completion.cancel = context.WithDeadline(context.Background(), call.deadline)
@@ -153,11 +154,7 @@
 // reports the model to the planner.
 func (completion *completion) openNext() *code.Fault {
 	entry := completion.entry
-	ran := code.RanNo
-	if completion.attempts > 0 {
-		ran = code.RanUnknown
-	}
-	if err := entry.withheld.check(completion.identity, ran); err != nil {
+	if err := entry.withheld.check(completion.identity, completion.ran); err != nil {
 		return err
 	}
 	current := entry.snapshot.Load()
@@ -193,6 +190,8 @@
 			completion.attempt.close()
 			completion.attempt = nil
 		}
+		err = withEarlierRan(err, completion.ran)
+		completion.ran = err.Ran()
 		if fault := completion.abortFault(); fault != nil {
 			return nil, fault
 		}
--- a/entry/entry/plainservice.go
+++ b/entry/entry/plainservice.go
@@ -99,13 +99,14 @@
 		if err := entry.withheld.check(identity, ran); err != nil {
 			return err
 		}
-		ran = code.RanUnknown
 		full, target, err := entry.tryIdempotent(requestCtx, call, request, group, &routeRequest)
 		entry.withheld.recordOutcome(identity, request, target, err)
 		if err == nil {
 			writeResponse(ctx, full, target)
 			return nil
 		}
+		err = withEarlierRan(err, ran)
+		ran = err.Ran()
 		if requestCtx.Err() != nil {
 			return code.New(code.DeadlinePassed, code.RanUnknown, "the deadline passed or the caller went away")
 		}
--- a/entry/entry/retries.go
+++ b/entry/entry/retries.go
@@ -23,6 +23,15 @@
 	return entry.takeRetry(ctx, call, service)
 }
 
+// withEarlierRan returns the fault of the last attempt of a request, which states that the request
+// has not run only if that is known of the earlier attempts too.
+func withEarlierRan(err *code.Fault, earlier code.Ran) *code.Fault {
+	if err.Ran() != code.RanNo {
+		return err
+	}
+	return err.WithRan(earlier)
+}
+
 // retryable reports whether another target may serve a request that failed with err.
 func retryable(err *code.Fault) bool {
 	switch err.Code() {
