Refuse answers of the agents' targets whose head is not valid HTTP

What callers saw (product's own path): the same as at entries that call targets themselves, for plain services, engines' completions and streams: status 000 came as 200, and bodies were cut or were not the target's. An order so answered counted as carried out. A request whose answer ended in the middle of its head, or had lone line feeds, was sent once more, although the target had begun to answer.

A broken head gives an error other than ErrNotSent, a cut one an unexpected end: the request may have run, and is sent once.

--- a/agent/internal/engine/client.go
+++ b/agent/internal/engine/client.go
@@ -18,6 +18,7 @@
 
 	"endiverill.example/kernel/clock"
 	"endiverill.example/kernel/connection"
+	"endiverill.example/kernel/head"
 	"endiverill.example/kernel/permit"
 	"endiverill.example/kernel/retry"
 	"endiverill.example/kernel/wire"
@@ -113,7 +114,7 @@
 			if err != nil {
 				return nil, errors.Mark(err, ErrNotSent)
 			}
-			return &timeoutConn{Conn: conn, idleTimeout: idleTimeout}, nil
+			return head.NewConn(&timeoutConn{Conn: conn, idleTimeout: idleTimeout}), nil
 		},
 	}
 }
--- a/kernel/proptest/rawserver.go
+++ b/kernel/proptest/rawserver.go
@@ -13,9 +13,10 @@
 
 // RawServer is an HTTP server that sends given bytes as answers.
 type RawServer struct {
-	address string
-	mu      sync.Mutex // guards answers
-	answers []string
+	address  string
+	mu       sync.Mutex // guards the fields below
+	answers  []string
+	requests int
 }
 
 // StartRawServer starts a server, which stops with the test.
@@ -48,6 +49,13 @@
 	rawServer.answers = answers
 }
 
+// Requests returns how many requests the server has answered.
+func (rawServer *RawServer) Requests() int {
+	rawServer.mu.Lock()
+	defer rawServer.mu.Unlock()
+	return rawServer.requests
+}
+
 func (rawServer *RawServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	rawServer.mu.Lock()
@@ -62,6 +70,9 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		rawServer.mu.Lock()
+		rawServer.requests++
+		rawServer.mu.Unlock()
 		if _, err := io.WriteString(conn, answer); err != nil {
 			return
 		}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 type Faults struct {
 	Delay              time.Duration `json:"delay"`      // delay before each response, in nanoseconds
 	DisconnectAfterRun bool          `json:"drop_after"` // runs the call, then closes the connection without a response
+	RawAnswer          string        `json:"raw_answer"` // runs the call, then sends these bytes and closes the connection; empty for none
 	Frozen             bool          `json:"frozen"`     // runs the call and responds only after Frozen is cleared
 	RestSeconds        int           `json:"rest"`       // answers 503 with this Retry-After and does not run the call; 0 means never
 	EndUnder           string        `json:"end_under"`  // path of calls under which the service ends; empty for none
@@ -198,6 +200,11 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	if faults.RawAnswer != "" {
+		_, _ = io.WriteString(ctx.Conn(), faults.RawAnswer) // an error is the agent's to find
+		_ = ctx.Conn().Close()
+		return
+	}
 	ctx.SetContentType("application/json")
 	data, err := json.Marshal(map[string]any{
 		"id": id, "runs": count, "method": string(ctx.Method()), "path": string(ctx.Path()), "echo": string(ctx.PostBody()),
