Refuse answers without a status of HTTP in the operators' commands

What operators saw: load and demonstration counted an answer with status 000, or any other from 000 to 199 or from 600, as a response of an entry; the commands that ask an instance's operators' listener showed its body as data.

Cause: net/http returns such answers.

Change: both return an error for them (client.CheckStatus). net/http also passes names with blanks, folded lines and the like. That stays: these programs write no answer anew, and its bodies end where the valid line says.

--- a/endiverill/internal/client/client.go
+++ b/endiverill/internal/client/client.go
@@ -20,6 +20,7 @@
 const (
 	maxIdleConns = 1024
 	callTimeout  = 5 * time.Minute
+	maxStatus    = 599
 )
 
 // Client sends requests to one entry with one key.
@@ -122,7 +123,24 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	return client.http.Do(request)
+	response, err := client.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CheckStatus returns an error for a status that no final answer has in HTTP. Package net/http
+// returns such answers.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Newf("expected a status from 200 to %d, got %03d", maxStatus, status)
+	}
+	return nil
 }
 
 // Stream requests a streamed completion and returns the response once the stream
--- a/endiverill/internal/command/status.go
+++ b/endiverill/internal/command/status.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"endiverill.example/endiverill/internal/client"
 )
 
 func init() {
@@ -26,7 +28,7 @@
 
 // query decodes the JSON that the operators' listener of an instance returns for
 // a path. It returns errNotFound if the instance answers 404, and does not check for
-// other statuses.
+// other statuses of HTTP.
 func query(ctx context.Context, address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -39,6 +41,9 @@
 		return errors.Wrapf(err, "instance %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := client.CheckStatus(response.StatusCode); err != nil {
+		return errors.Wrapf(err, "instance %s", address)
+	}
 	if response.StatusCode == http.StatusNotFound {
 		return errNotFound
 	}
