Test that trailers reach neither callers nor the next request

Already handled: the exchange reads the end of a chunked body itself, passes no trailer on, and closes a connection with one.

--- a/entry/exchange/head_test.go
+++ b/entry/exchange/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,18 @@
 		}
 	})
 }
+
+// Trailers are never passed on; the connection after one is not used again.
+func TestTrailerReachesCallerOrNextRequest(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\none\r\n0\r\n"
+	for _, trailer := range []string{"X Odd: 1", "X-\x01Odd: 1", "Content-Length: 1", "X-Even: 2", "HTTP/1.1 000 OK"} {
+		address, accepted := startTarget(t, head+body+trailer+"\r\n\r\n", okResponse("2", "two"))
+		pool := newPool()
+		for index, want := range []string{"one", "two"} {
+			got, _, err := exchangeBody(pool, address, fmt.Sprint(index+1))
+			assert.NilError(t, err)
+			assert.Equal(t, got, want, "%q", trailer)
+		}
+		assert.Equal(t, accepted(), 2, "%q", trailer)
+	}
+}
