Count answers of targets whose head is not valid HTTP

What operators saw: a broken head stood in the log alone, line by line. Change: the entry counts them as responses.invalid, for first answers, retries and continuations of streams.

--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -11,6 +11,7 @@
 	"endiverill.example/kernel/code"
 	"endiverill.example/kernel/directory"
 	"endiverill.example/kernel/dispatch"
+	"endiverill.example/kernel/head"
 	"endiverill.example/kernel/quarantine"
 	"endiverill.example/kernel/retry"
 )
@@ -483,6 +484,9 @@
 	if errors.Is(err, exchange.ErrAnonymous) {
 		gateway.metrics.Add("responses.anonymous", 1)
 	}
+	if errors.Is(err, head.ErrInvalid) {
+		gateway.metrics.Add("responses.invalid", 1)
+	}
 	gateway.log.Infof("request %q failed at target %s after %v, ran %s, identity %x, prompt parts %s: %v",
 		call.head.ID, attempt.target.ID(), gateway.clock.Now().Sub(attempt.sentAt), ran, uint64(call.identity), call.placement.SharedIDs(), err)
 	if ran == code.RanNo {
