Send answers of raw servers byte by byte in tests

A broken target's bytes may come in parts of any size, and a reader that only sees whole heads in one read would not be tested.

--- a/kernel/head/head_test.go
+++ b/kernel/head/head_test.go
@@ -34,7 +34,11 @@
 func TestPromiseParserAgreesWithCheck(t *testing.T) {
 	rapid.Check(t, func(draw *rapid.T) {
 		raw := proptest.DrawHeadOfAnswer(draw, "Id: 2\r\n", "0123456789ab")
-		reader, header := bufio.NewReader(strings.NewReader(raw)), &fasthttp.ResponseHeader{}
+		var source io.Reader = strings.NewReader(raw)
+		if rapid.Bool().Draw(draw, "byte by byte") {
+			source = iotest.OneByteReader(source)
+		}
+		reader, header := bufio.NewReader(source), &fasthttp.ResponseHeader{}
 		err := Read(reader, header)
 		first, _, _ := strings.Cut(raw, "\r\n\r\n")
 		interim := strings.HasPrefix(first, "HTTP/1.1 1")
--- a/kernel/proptest/rawserver.go
+++ b/kernel/proptest/rawserver.go
@@ -73,8 +73,10 @@
 		rawServer.mu.Lock()
 		rawServer.requests++
 		rawServer.mu.Unlock()
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
+		for index := range len(answer) { // so that the other side may read it in parts of any size
+			if _, err := io.WriteString(conn, answer[index:index+1]); err != nil {
+				return
+			}
 		}
 	}
 }
