Log and count invalid answers of the agents' targets

What operators saw (product's own path): callers got 1404 or 1405 for a broken head, and no line said why. Change: the agent logs the line of the head with the request's ID and counts responses.invalid, as the other composition does. Evidence: TestInvalidAnswerOfTargetIsCounted, which needs the new method; no line was logged before.

--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -19,6 +19,7 @@
 	"endiverill.example/kernel/logs"
 	"endiverill.example/kernel/memory"
 	"endiverill.example/kernel/placement"
+	"endiverill.example/kernel/proptest"
 	"endiverill.example/kernel/wire"
 )
 
@@ -160,3 +161,13 @@
 	target.Close()
 	assert.Equal(t, agent.streamVersion(engine.Event{}), "", "the engine may have been restarted")
 }
+
+func TestInvalidAnswerOfTargetIsCounted(t *testing.T) {
+	server := proptest.StartRawServer(t)
+	server.SetAnswers("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok")
+	agent, request := newIdleAgent(t), &wire.Request{Method: "GET", Path: "/x"}
+	_, err := engine.New(server.Address(), time.Second, clock.System{}).Call(request, false)
+	agent.recordInvalid(request, err)
+	agent.recordInvalid(request, engine.ErrTruncated)
+	assert.Equal(t, agent.Metrics().Get("responses.invalid"), int64(1))
+}
--- a/agent/agent/nonidempotent.go
+++ b/agent/agent/nonidempotent.go
@@ -152,6 +152,7 @@
 	case errors.Is(err, engine.ErrNotSent):
 		return agent.stepStarter(func(time.Time) []intent.StarterEffect { return tracked.starter.NeverSent(agent.targetError(err)) })
 	default:
+		agent.recordInvalid(sink.request, err)
 		effects := agent.stepStarter(func(time.Time) []intent.StarterEffect { return tracked.starter.AnswerLost() })
 		_ = agent.refuse(sink, code.New(code.OutcomeUnknown, code.RanUnknown, "the target got the request and its answer was lost"))
 		return effects
--- a/agent/agent/serve.go
+++ b/agent/agent/serve.go
@@ -10,6 +10,7 @@
 
 	"endiverill.example/agent/internal/engine"
 	"endiverill.example/kernel/code"
+	"endiverill.example/kernel/head"
 	"endiverill.example/kernel/queue"
 	"endiverill.example/kernel/wire"
 )
@@ -290,6 +291,7 @@
 		return sink.send(frame)
 	})
 	if err != nil {
+		agent.recordInvalid(sink.request, err)
 		return agent.refuse(sink, agent.targetError(err))
 	}
 	if response != nil {
@@ -329,6 +331,15 @@
 	return agent.refuse(sink, err)
 }
 
+// recordInvalid logs and counts an answer of the target whose head is not valid HTTP, if err is the
+// error of one.
+func (agent *Agent) recordInvalid(request *wire.Request, err error) {
+	if errors.Is(err, head.ErrInvalid) {
+		agent.Metrics().Add("responses.invalid", 1)
+		agent.log.Infof("the answer to request %q cannot be used: %v", request.ID, err)
+	}
+}
+
 // targetError converts the error of a call to the target into a fault that says
 // whether the request may have run.
 func (agent *Agent) targetError(err error) *code.Fault {
@@ -349,6 +360,7 @@
 func (agent *Agent) relayUnary(sink *sink) error {
 	response, err := agent.client.Call(sink.request, false)
 	if err != nil {
+		agent.recordInvalid(sink.request, err)
 		return agent.refuse(sink, agent.targetError(err))
 	}
 	if sink.request.Model != "" && response.Status() >= 500 {
--- a/kernel/proptest/brokenhead.go
+++ b/kernel/proptest/brokenhead.go
@@ -13,8 +13,8 @@
 	"pgregory.net/rapid"
 )
 
-// BrokenAnswers returns answers with the header lines, each ended by CRLF, and body, whose heads
-// RFC 9112 has a recipient refuse, by what is wrong.
+// BrokenAnswers returns answers with the header lines, each ended by CRLF, and body, by what is wrong
+// with their heads: they are not valid HTTP/1.1, or RFC 9110 or 9112 lets a recipient refuse them.
 func BrokenAnswers(headers, body string) map[string]string {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	answers := map[string]string{
