--- a/kernel/proptest/rawserver.go
+++ b/kernel/proptest/rawserver.go
@@ -73,12 +73,20 @@
 		rawServer.mu.Lock()
 		rawServer.requests++
 		rawServer.mu.Unlock()
-		for index := range len(answer) { // so that the other side may read it in parts of any size
-			if _, err := io.WriteString(conn, answer[index:index+1]); err != nil {
-				return
-			}
+		if err := WriteByteByByte(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+// WriteByteByByte writes text so that the other side may read it in parts of any size.
+func WriteByteByByte(conn net.Conn, text string) error {
+	for index := range len(text) {
+		if _, err := io.WriteString(conn, text[index:index+1]); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Heads returns heads of a successful answer, one for each way in which its body may be framed. None
