Show that a reset stream without length looks complete

A look into the socket (MSG_PEEK) clears the pending ECONNRESET, so that the reader gets the end of the stream.

--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,16 @@
+// Command bed plays the scripted cases of the third review; see ../REPORT-3.md.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(trouble bool) int{"reset": caseReset, "inplace-herd": caseInplaceHerd, "bodies": caseBodies, "inplace": caseInplace}
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: bed CASE")
+		os.Exit(2)
+	}
+	os.Exit(cases[os.Args[1]](os.Getenv("TROUBLE") != "0"))
+}
