--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -24,7 +24,7 @@
 	wireModels := []any{}
 	for _, model := range models {
 		wireModels = append(wireModels, map[string]any{
-			"Name": model, "WeightsMb": 65000.0, "LoadS": loadTime.Seconds(), "WarmS": loadTime.Seconds(), "DiskS": loadTime.Seconds(), "Adapters": 0, "AdapterMb": 60.0,
+			"Name": model, "WeightsMb": 65000.0, "LoadS": loadTime.Seconds(), "WarmS": loadTime.Seconds(), "DiskS": loadTime.Seconds(), "Adapters": 12, "AdapterMb": 60.0,
 		})
 	}
 	engine := map[string]any{"Slots": 64, "KvCapacity": 161844, "WeightsMb": 200000.0, "AdapterSlots": 8, "LoadsPerS": 1.5, "Models": wireModels}
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -36,6 +36,10 @@
 	runs     map[string]*runState // running
 	Runs     []*Run               // all that began, in order
 	Orders   []Order
+
+	Late     func(order Order) time.Duration // if not nil and not 0, the order gets no answer and is carried out so much later
+	Adapters int                             // places for adapters, 0 for no limit
+	Overfull bool                            // was ordered to load more adapters than it has places for
 }
 
 type runState struct{ events int }
@@ -219,7 +223,9 @@
 		writeAnswer(conn, 200, "Instance-Id: "+replica.ID+"\r\nServer-Load: 0,0,8\r\n", nil)
 		return false
 	case "/api/order":
-		writeAnswer(conn, replica.order(request, body), "", nil)
+		if status := replica.order(request, body); status != 0 {
+			writeAnswer(conn, status, "", nil)
+		}
 		return false
 	}
 	if id == "" {
@@ -244,9 +250,24 @@
 		return 400
 	}
 	order.At, order.Expect = time.Now(), request.Header.Get("Expect-Instance")
+	if replica.Late != nil {
+		if delay := replica.Late(order); delay > 0 {
+			time.AfterFunc(delay, func() { replica.carryOut(order) })
+			return 0
+		}
+	}
+	return replica.carryOut(order)
+}
+
+// carryOut carries an order out, if it is meant for the replica with this Id and the condition
+// holds now.
+func (replica *Replica) carryOut(order Order) int {
 	replica.mu.Lock()
 	defer replica.mu.Unlock()
-	order.Status = replica.apply(order)
+	order.At, order.Status = time.Now(), 421
+	if replica.up && (order.Expect == "" || order.Expect == replica.ID) {
+		order.Status = replica.apply(order)
+	}
 	replica.Orders = append(replica.Orders, order)
 	return order.Status
 }
@@ -265,6 +286,14 @@
 			return 409
 		case order.Operation == "load":
 			replica.held[order.Model] = append(adapters, order.Adapter)
+			count := 0
+			for _, held := range replica.held {
+				count += len(held)
+			}
+			if replica.Adapters > 0 && count > replica.Adapters {
+				replica.Overfull = true
+				go replica.Crash()
+			}
 		default:
 			replica.held[order.Model] = slices.DeleteFunc(adapters, func(name string) bool { return name == order.Adapter })
 		}
