--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -7,7 +7,7 @@
 )
 
 func main() {
-	cases := map[string]func(trouble bool) int{"inplace": caseInplace, "reset": caseReset, "stop": caseStop, "answers": caseAnswers}
+	cases := map[string]func(trouble bool) int{"inplace": caseInplace, "reset": caseReset, "stop": caseStop, "answers": caseAnswers, "late": caseLate}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: bed CASE")
 		os.Exit(2)
