--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -305,15 +305,18 @@
 // the grace period by their own deadline and need not wait for a target: the platform
 // keeps sending them until it has selected another instance.
 func (gateway *Gateway) Stop(ctx context.Context) error {
+	stoppedAt := gateway.clock.Now()
 	gateway.stopping.Store(true)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
 	gateway.planner.release(ctx)
+	gateway.logStop(stoppedAt, "the lease has been released")
 	gateway.peers.resign(gateway.options.Grace)
 	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
 	gateway.stopEnd.Store(&end)
 	drainEnd := end.Add(-maxPlainDuration)
 	gateway.sleep(ctx, readinessDelay)
 	gateway.startDraining()
+	gateway.logStop(stoppedAt, "draining")
 	for gateway.clock.Now().Before(drainEnd) && ctx.Err() == nil {
 		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
 		if gateway.callers.activeRequests() == 0 {
@@ -322,11 +325,13 @@
 		gateway.sleep(ctx, stopPollInterval)
 	}
 	gateway.ending.Store(true)
+	gateway.logStop(stoppedAt, "no further requests are admitted")
 	pause := func() bool {
 		gateway.sleep(ctx, stopPollInterval)
 		return gateway.clock.Now().Before(end) && ctx.Err() == nil
 	}
 	gateway.callers.stopAccepting(pause)
+	gateway.logStop(stoppedAt, "the listener of callers is closed")
 	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
 		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
 		if gateway.callers.open() == 0 {
@@ -334,6 +339,7 @@
 		}
 		gateway.sleep(ctx, stopPollInterval)
 	}
+	gateway.logStop(stoppedAt, "open requests end")
 	gateway.endRequests(ctx)
 	gateway.origins.handOver()
 	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
@@ -341,6 +347,11 @@
 	return ctx.Err()
 }
 
+// logStop logs how long after its beginning a stop has reached a step.
+func (gateway *Gateway) logStop(stoppedAt time.Time, step string) {
+	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(stoppedAt), gateway.callers.activeRequests())
+}
+
 // errStopped ends the requests that are open at the end of the grace period.
 var errStopped = errors.New("the instance has stopped")
 
