--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -27,19 +27,11 @@
 
 const (
 	housekeepingInterval = time.Second
-	maxHeaderBytes       = 32 << 10                // of a request header; twice the usual configured limit
-	maxBodyBytes         = 8 << 20                 // of a request body; twice the usual configured limit
-	defaultTimeout       = time.Minute             // of a request whose route and caller state none
-	responseMargin       = 4 * time.Millisecond    // reserved for the response's way back to the caller
-	defaultRetryAfter    = 500 * time.Millisecond  // of faults for which there is no estimate
-	retryAfterStop       = 50 * time.Millisecond   // of the fault of a stopping instance; another instance accepts the request
-	readinessDelay       = 2600 * time.Millisecond // an instance that is no longer ready gets new connections for two more readiness probes, one a second
-	exitReserve          = 400 * time.Millisecond  // of the grace period, for the exit of the process
-	maxPlainDuration     = time.Second             // longest expected request other than a stream, by the specification of the deployments
-	stopPollInterval     = 50 * time.Millisecond
-	lastAnswersTimeout   = 100 * time.Millisecond // of exitReserve, for the answers to requests that are ended by the stop
-	lastAnswersInterval  = 5 * time.Millisecond   // of checks whether they have been sent
-	newConnGrace         = 300 * time.Millisecond // while stopping, a new connection may stay without a request for that long
+	maxHeaderBytes       = 32 << 10               // of a request header; twice the usual configured limit
+	maxBodyBytes         = 8 << 20                // of a request body; twice the usual configured limit
+	defaultTimeout       = time.Minute            // of a request whose route and caller state none
+	responseMargin       = 4 * time.Millisecond   // reserved for the response's way back to the caller
+	defaultRetryAfter    = 500 * time.Millisecond // of faults for which there is no estimate
 )
 
 // Options are the settings and dependencies of a gateway.
@@ -297,76 +289,6 @@
 	}
 }
 
-// Stop drains the gateway. It returns when all requests have ended, when the
-// grace period but for exitReserve is used up, or when ctx ends, then with its
-// error. Streams are admitted for readinessDelay, in which the platform detects
-// that the instance is not ready. After it, other requests are admitted until
-// maxPlainDuration before the end or until none is in progress, if they end before
-// the grace period by their own deadline and need not wait for a target: the platform
-// keeps sending them until it has selected another instance.
-func (gateway *Gateway) Stop(ctx context.Context) error {
-	stoppedAt := gateway.clock.Now()
-	gateway.stopping.Store(true)
-	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
-	gateway.planner.release(ctx)
-	gateway.logStop(stoppedAt, "the lease has been released")
-	gateway.peers.resign(gateway.options.Grace)
-	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
-	gateway.stopEnd.Store(&end)
-	drainEnd := end.Add(-maxPlainDuration)
-	gateway.sleep(ctx, readinessDelay)
-	gateway.startDraining()
-	gateway.logStop(stoppedAt, "draining")
-	for gateway.clock.Now().Before(drainEnd) && ctx.Err() == nil {
-		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if gateway.callers.activeRequests() == 0 {
-			break
-		}
-		gateway.sleep(ctx, stopPollInterval)
-	}
-	gateway.ending.Store(true)
-	gateway.logStop(stoppedAt, "no further requests are admitted")
-	pause := func() bool {
-		gateway.sleep(ctx, stopPollInterval)
-		return gateway.clock.Now().Before(end) && ctx.Err() == nil
-	}
-	gateway.callers.stopAccepting(pause)
-	gateway.logStop(stoppedAt, "the listener of callers is closed")
-	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
-		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if gateway.callers.open() == 0 {
-			break
-		}
-		gateway.sleep(ctx, stopPollInterval)
-	}
-	gateway.logStop(stoppedAt, "open requests end")
-	gateway.endRequests(ctx)
-	gateway.origins.handOver()
-	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
-	gateway.log.Infof("stopped, %d requests were open", gateway.callers.activeRequests())
-	return ctx.Err()
-}
-
-// logStop logs how long after its beginning a stop has reached a step.
-func (gateway *Gateway) logStop(stoppedAt time.Time, step string) {
-	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(stoppedAt), gateway.callers.activeRequests())
-}
-
-// errStopped ends the requests that are open at the end of the grace period.
-var errStopped = errors.New("the instance has stopped")
-
-// endRequests ends the open requests and waits until those that have had no part of an answer
-// have been refused.
-func (gateway *Gateway) endRequests(ctx context.Context) {
-	gateway.callerWatch.cancelAll(errStopped)
-	for end := gateway.clock.Now().Add(lastAnswersTimeout); gateway.clock.Now().Before(end) && ctx.Err() == nil; {
-		if gateway.callers.activeRequests() == 0 {
-			return
-		}
-		gateway.sleep(ctx, lastAnswersInterval)
-	}
-}
-
 // withLock calls step with gateway.mu held. It releases it after a panic too: the gateway goes
 // on after one while a stream is relayed.
 func (gateway *Gateway) withLock(step func()) {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -329,19 +329,6 @@
 	}
 }
 
-// outlastsStop reports whether a draining instance may end before the call does.
-func (call *call) outlastsStop() bool {
-	gateway := call.gateway
-	end := gateway.stopEnd.Load()
-	return end != nil && gateway.draining.Err() != nil && call.deadline.After(*end)
-}
-
-// stoppingFault returns the fault for a request that might not complete before
-// the instance stops.
-func stoppingFault() *code.Fault {
-	return code.New(code.Stopping, code.RanNo, "the instance is stopping").WithRetryAfter(retryAfterStop)
-}
-
 // refusalFault returns the fault for a call that the dispatcher refuses to place.
 func refusalFault(refuse dispatch.Refuse) *code.Fault {
 	switch refuse.Reason {
