--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -184,13 +184,22 @@
 	}
 }
 
-// release gives the lease up, so that another entry can acquire it at once.
-func (planRunner *planRunner) release(ctx context.Context) {
+// stopPlanning ends the planning of this entry for good, and returns the effects that give the lease up.
+func (planRunner *planRunner) stopPlanning() []lease.Effect {
 	planRunner.mu.Lock()
-	effects := planRunner.lease.Release(planRunner.gateway.clock.Now())
+	defer planRunner.mu.Unlock()
 	planRunner.heldFence = 0
-	planRunner.mu.Unlock()
+	return planRunner.lease.Release(planRunner.gateway.clock.Now())
+}
+
+// giveUpLease carries out the effects of stopPlanning, so that another entry can acquire the lease at once.
+func (planRunner *planRunner) giveUpLease(ctx context.Context, effects []lease.Effect) {
+	if len(effects) == 0 {
+		return
+	}
+	begun := planRunner.gateway.clock.Now()
 	planRunner.driver.Execute(ctx, effects)
+	planRunner.gateway.log.Infof("stop: the call that gives the lease up took %v", planRunner.gateway.clock.Now().Sub(begun))
 }
 
 // plan runs one planning round and sends the resulting commands, if this entry
--- a/entry/gateway/stop.go
+++ b/entry/gateway/stop.go
@@ -20,27 +20,42 @@
 	newConnGrace        = 300 * time.Millisecond // while stopping, a new connection may stay without a request for that long
 )
 
+// stopTimes are the times of a planned stop. All are counted from the signal, as the platform counts the
+// grace period, whatever the steps of the stop wait for.
+type stopTimes struct {
+	signalled time.Time
+	draining  time.Time // when the platform has detected that the instance is not ready
+	closing   time.Time // from then on, no request is admitted
+	end       time.Time // the requests that are still open are ended
+}
+
+func newStopTimes(signalled time.Time, grace time.Duration) stopTimes {
+	end := signalled.Add(grace - exitReserve)
+	return stopTimes{signalled: signalled, draining: signalled.Add(readinessDelay), closing: end.Add(-maxPlainDuration), end: end}
+}
+
 // Stop drains the gateway. It returns when all requests have ended, when the
 // grace period but for exitReserve is used up, or when ctx ends, then with its
 // error. Streams are admitted for readinessDelay, in which the platform detects
 // that the instance is not ready. After it, other requests are admitted until
 // maxPlainDuration before the end or until none is in progress, if they end before
 // the grace period by their own deadline and need not wait for a target: the platform
-// keeps sending them until it has selected another instance.
+// keeps sending them until it has selected another instance. The planner's lease is given up
+// meanwhile; nothing of the stop waits for it.
 func (gateway *Gateway) Stop(ctx context.Context) error {
-	stoppedAt := gateway.clock.Now()
+	times := newStopTimes(gateway.clock.Now(), gateway.options.Grace)
 	gateway.stopping.Store(true)
+	gateway.stopEnd.Store(&times.end)
 	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
-	gateway.planner.release(ctx)
-	gateway.logStop(stoppedAt, "the lease has been released")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	release := gateway.planner.stopPlanning()
+	go gateway.planner.giveUpLease(ctx, release) // the store may not answer, and callers do not depend on it
 	gateway.peers.resign(gateway.options.Grace)
-	end := gateway.clock.Now().Add(gateway.options.Grace - exitReserve)
-	gateway.stopEnd.Store(&end)
-	drainEnd := end.Add(-maxPlainDuration)
-	gateway.sleep(ctx, readinessDelay)
+	gateway.sleep(ctx, times.draining.Sub(gateway.clock.Now()))
 	gateway.startDraining()
-	gateway.logStop(stoppedAt, "draining")
-	for gateway.clock.Now().Before(drainEnd) && ctx.Err() == nil {
+	gateway.logStop(times, "draining")
+	for gateway.clock.Now().Before(times.closing) && ctx.Err() == nil {
 		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
 		if gateway.callers.activeRequests() == 0 {
 			break
@@ -48,21 +63,21 @@
 		gateway.sleep(ctx, stopPollInterval)
 	}
 	gateway.ending.Store(true)
-	gateway.logStop(stoppedAt, "no further requests are admitted")
+	gateway.logStop(times, "no further requests are admitted")
 	pause := func() bool {
 		gateway.sleep(ctx, stopPollInterval)
-		return gateway.clock.Now().Before(end) && ctx.Err() == nil
+		return gateway.clock.Now().Before(times.end) && ctx.Err() == nil
 	}
 	gateway.callers.stopAccepting(pause)
-	gateway.logStop(stoppedAt, "the listener of callers is closed")
-	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
+	gateway.logStop(times, "the listener of callers is closed")
+	for gateway.clock.Now().Before(times.end) && ctx.Err() == nil {
 		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
 		if gateway.callers.open() == 0 {
 			break
 		}
 		gateway.sleep(ctx, stopPollInterval)
 	}
-	gateway.logStop(stoppedAt, "open requests end")
+	gateway.logStop(times, "open requests end")
 	gateway.endRequests(ctx)
 	gateway.origins.handOver()
 	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
@@ -71,8 +86,8 @@
 }
 
 // logStop logs how long after its beginning a stop has reached a step.
-func (gateway *Gateway) logStop(stoppedAt time.Time, step string) {
-	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(stoppedAt), gateway.callers.activeRequests())
+func (gateway *Gateway) logStop(times stopTimes, step string) {
+	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(times.signalled), gateway.callers.activeRequests())
 }
 
 // errStopped ends the requests that are open at the end of the grace period.
