--- a/entry/gateway/acceptfailure_test.go
+++ b/entry/gateway/acceptfailure_test.go
@@ -20,14 +20,14 @@
 	gateway := newIdleGateway(t, clock.System{})
 	listener, err := gateway.listen(context.Background(), "127.0.0.1:0")
 	assert.NilError(t, err)
-	gateway.callers = newCallerListener(listener, gateway.limits, gateway.recordCallerClosed)
+	gateway.callers.Store(newCallerListener(listener, gateway.limits, gateway.recordCallerClosed))
 	server := &fasthttp.Server{Logger: logs.NopLogger{}, Handler: func(*fasthttp.RequestCtx) {}}
 	caller, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = caller.Close() }()
 	release := proptest.UseUpFiles(t)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(gateway.callers) }()
+	go func() { served <- server.Serve(gateway.callers.Load()) }()
 	for gateway.metrics.Get("accept.errors") == 0 {
 		select {
 		case err := <-served:
@@ -41,6 +41,6 @@
 	assert.NilError(t, caller.SetReadDeadline(time.Now().Add(5*time.Second)))
 	var response fasthttp.Response
 	assert.NilError(t, response.Read(bufio.NewReader(caller)))
-	gateway.callers.stopAccepting(func() bool { return false })
+	gateway.callers.Load().stopAccepting(func() bool { return false })
 	assert.NilError(t, <-served, "a closed listener")
 }
--- a/entry/gateway/callerlistener_test.go
+++ b/entry/gateway/callerlistener_test.go
@@ -179,7 +179,7 @@
 		ctx.SetBodyString("answer")
 		ctx.SetConnectionClose()
 	}
-	gateway.callers = newCallerListener(raw, gateway.limits, gateway.recordCallerClosed)
+	gateway.callers.Store(newCallerListener(raw, gateway.limits, gateway.recordCallerClosed))
 	conn, err := net.Dial("tcp", raw.Addr().String())
 	assert.NilError(t, err)
 	caller := &caller{t: t, conn: conn, reader: bufio.NewReader(conn)}
@@ -190,7 +190,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(2 * stopPollInterval) // the stop has looked at the backlog
-		served <- ignoreClosed(gateway.server.Serve(gateway.callers))
+		served <- ignoreClosed(gateway.server.Serve(gateway.callers.Load()))
 	}()
 	assert.NilError(t, gateway.Stop(context.Background()))
 	caller.awaitAnswer()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -72,7 +72,7 @@
 	log            *logs.Logger
 	startedAt      time.Time
 	pool           *exchange.Pool
-	callers        *callerListener
+	callers        atomic.Pointer[callerListener] // nil before callers are accepted
 	server         *fasthttp.Server
 	current        atomic.Pointer[directory.Directory] // configuration in force, nil before the first
 	targetsKnown   atomic.Bool                         // a list of targets has been received
@@ -187,14 +187,18 @@
 	if err != nil {
 		return err
 	}
-	gateway.callers = newCallerListener(listener, gateway.limits, gateway.recordCallerClosed)
+	callers := newCallerListener(listener, gateway.limits, gateway.recordCallerClosed)
+	gateway.callers.Store(callers)
+	if gateway.stopping.Load() {
+		return ignoreClosed(listener.Close()) // Stop may have seen that no caller is accepted
+	}
 	ready, err := gateway.listen(ctx, gateway.options.ReadyAddress)
 	if err != nil {
 		return err
 	}
 	gateway.log.Infof("started, callers at %s, incarnation %d", gateway.options.CallerAddress, gateway.options.Incarnation)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return ignoreClosed(gateway.server.Serve(gateway.callers)) })
+	group.Go(func() error { return ignoreClosed(gateway.server.Serve(callers)) })
 	group.Go(func() error { return gateway.serveReady(ctx, ready) })
 	group.Go(func() error { return gateway.syncer.run(ctx) })
 	group.Go(func() error { return gateway.peers.run(ctx) })
--- a/entry/gateway/stop.go
+++ b/entry/gateway/stop.go
@@ -46,7 +46,12 @@
 	times := newStopTimes(gateway.clock.Now(), gateway.options.Grace)
 	gateway.stopping.Store(true)
 	gateway.stopEnd.Store(&times.end)
-	gateway.log.Infof("stopping, %d requests are open", gateway.callers.activeRequests())
+	callers := gateway.callers.Load()
+	if callers == nil {
+		gateway.log.Infof("stopping before callers are accepted")
+		return ctx.Err()
+	}
+	gateway.log.Infof("stopping, %d requests are open", callers.activeRequests())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	release := gateway.planner.stopPlanning()
@@ -56,8 +61,8 @@
 	gateway.startDraining()
 	gateway.logStop(times, "draining")
 	for gateway.clock.Now().Before(times.closing) && ctx.Err() == nil {
-		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if gateway.callers.activeRequests() == 0 {
+		callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
+		if callers.activeRequests() == 0 {
 			break
 		}
 		gateway.sleep(ctx, stopPollInterval)
@@ -68,11 +73,11 @@
 		gateway.sleep(ctx, stopPollInterval)
 		return gateway.clock.Now().Before(times.end) && ctx.Err() == nil
 	}
-	gateway.callers.stopAccepting(pause)
+	callers.stopAccepting(pause)
 	gateway.logStop(times, "the listener of callers is closed")
 	for gateway.clock.Now().Before(times.end) && ctx.Err() == nil {
-		gateway.callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if gateway.callers.open() == 0 {
+		callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
+		if callers.open() == 0 {
 			break
 		}
 		gateway.sleep(ctx, stopPollInterval)
@@ -81,13 +86,13 @@
 	gateway.endRequests(ctx)
 	gateway.origins.handOver()
 	gateway.peers.leave() // only now, since peers must count what this instance spent until its end
-	gateway.log.Infof("stopped, %d requests were open", gateway.callers.activeRequests())
+	gateway.log.Infof("stopped, %d requests were open", callers.activeRequests())
 	return ctx.Err()
 }
 
 // logStop logs how long after its beginning a stop has reached a step.
 func (gateway *Gateway) logStop(times stopTimes, step string) {
-	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(times.signalled), gateway.callers.activeRequests())
+	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(times.signalled), gateway.callers.Load().activeRequests())
 }
 
 // errStopped ends the requests that are open at the end of the grace period.
@@ -98,7 +103,7 @@
 func (gateway *Gateway) endRequests(ctx context.Context) {
 	gateway.callerWatch.cancelAll(errStopped)
 	for end := gateway.clock.Now().Add(lastAnswersTimeout); gateway.clock.Now().Before(end) && ctx.Err() == nil; {
-		if gateway.callers.activeRequests() == 0 {
+		if gateway.callers.Load().activeRequests() == 0 {
 			return
 		}
 		gateway.sleep(ctx, lastAnswersInterval)
