--- a/entry/gateway/stop.go
+++ b/entry/gateway/stop.go
@@ -31,7 +31,12 @@
 
 func newStopTimes(signalled time.Time, grace time.Duration) stopTimes {
 	end := signalled.Add(grace - exitReserve)
-	return stopTimes{signalled: signalled, draining: signalled.Add(readinessDelay), closing: end.Add(-maxPlainDuration), end: end}
+	closing := end.Add(-maxPlainDuration)
+	draining := signalled.Add(readinessDelay)
+	if draining.After(closing) {
+		draining = closing // the grace period is too short for the platform to detect it
+	}
+	return stopTimes{signalled: signalled, draining: draining, closing: closing, end: end}
 }
 
 // Stop drains the gateway. It returns when all requests have ended, when the
--- a/entry/gateway/stop_test.go
+++ b/entry/gateway/stop_test.go
@@ -20,3 +20,15 @@
 	assert.NilError(t, gateway.Run(context.Background()), "callers are accepted after the stop")
 	assert.Assert(t, time.Since(begun) < time.Second, "stopped after %v", time.Since(begun))
 }
+
+// Guards against a stop that outlasts a grace period shorter than the time in which the platform detects
+// that the instance is not ready.
+func TestStopTimesAreInOrderWithinGracePeriod(t *testing.T) {
+	signalled := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{0, 300 * time.Millisecond, time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, time.Minute} {
+		times := newStopTimes(signalled, grace)
+		assert.Assert(t, !times.draining.After(times.closing) && times.closing.Before(times.end), "grace %v: %+v", grace, times)
+		assert.Assert(t, !times.end.After(signalled.Add(grace-exitReserve)), "grace %v: %+v", grace, times)
+	}
+	assert.Equal(t, newStopTimes(signalled, 8*time.Second).draining, signalled.Add(readinessDelay))
+}
