--- a/endiverill/internal/promise/stop_test.go
+++ b/endiverill/internal/promise/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,8 +10,12 @@
 	"gotest.tools/v3/assert"
 
 	"endiverill.example/endiverill/internal/client"
+	"endiverill.example/endiverill/internal/deployment"
+	"endiverill.example/kernel/lease"
+	"endiverill.example/kernel/quota"
 	"endiverill.example/standin/engine"
 	"endiverill.example/standin/service"
+	"endiverill.example/standin/store"
 )
 
 // A target that is stopped gets no new requests and finishes those that it has.
@@ -111,3 +116,48 @@
 	})
 	assert.Equal(t, runCount(running, "stopping"), 1)
 }
+
+// stored returns the value of the object whose key has these first and last parts.
+func stored(t *testing.T, running *deployment.Deployment, prefix, suffix string) []byte {
+	t.Helper()
+	objects, err := running.Store().List(context.Background(), "test", prefix)
+	assert.NilError(t, err)
+	for _, object := range objects {
+		if strings.HasSuffix(object.Key(), suffix) {
+			return object.Value()
+		}
+	}
+	return nil
+}
+
+// leaseHolder returns the holder of the planner's lease, empty if there is none.
+func leaseHolder(t *testing.T, running *deployment.Deployment) string {
+	t.Helper()
+	data := stored(t, running, "placement/", "/planner")
+	if data == nil {
+		return ""
+	}
+	record, err := lease.ParseRecord(data)
+	assert.NilError(t, err)
+	return record.Holder()
+}
+
+// Guards against a stop that ends before its calls to the object API: other entries then wait until the
+// lease and the share of the rates expire, although no caller has kept the entry from giving them up.
+func TestPromiseIdleEntryGivesLeaseAndShareUpBeforeItEnds(t *testing.T) {
+	running, _ := startDeployment(t, nil)
+	waitFor(t, "an entry plans", func() bool { return leaseHolder(t, running) != "" })
+	planner := running.Entries()[0]
+	if !strings.HasPrefix(leaseHolder(t, running), planner.PeerAddress()+"/") {
+		planner = running.Entries()[1]
+	}
+	running.Store().SetFaults(store.Faults{Delay: 100 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	assert.NilError(t, planner.Stop(ctx))
+	cancel() // as when the process exits
+	planner.Kill()
+	assert.Assert(t, !strings.HasPrefix(leaseHolder(t, running), planner.PeerAddress()+"/"), "the lease names the entry that has ended")
+	table, err := quota.ParseTable(stored(t, running, "quota/", "/shares"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(table.Holders()), 1, "%+v", table.Holders())
+}
--- a/entry/entry/entry.go
+++ b/entry/entry/entry.go
@@ -27,6 +27,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -200,14 +201,19 @@
 // waits until every request has its response and every connection is closed, or ctx ends.
 // Requests that have arrived by then are read and answered. It gives up the entry's share
 // of the rates and the planner's lease when it closes the listener, without waiting for
-// the requests in flight.
+// the requests in flight. These do not wait for the object API either; Stop waits for it at its end.
 func (entry *Entry) Stop(ctx context.Context) error {
 	entry.stopping.Store(true)
 	entry.log.Infof("stopping: %d requests are in flight", entry.openRequests.Load())
 	entry.sleep(ctx, entry.Values().Duration("entry.farewell"))
 	entry.shareGivenUp.Store(true)
-	go entry.quota.Leave(ctx)
-	go entry.planner.release(ctx)
+	leaveCtx, cancel := context.WithTimeout(ctx, entry.limits.storeTimeout+notifyTimeout)
+	defer cancel()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		entry.leave(leaveCtx)
+	}()
 	err := entry.endCallers(ctx)
 	for entry.openRequests.Load() > 0 && ctx.Err() == nil {
 		entry.sleep(ctx, drainPollInterval)
@@ -215,9 +221,23 @@
 	if remaining := entry.openRequests.Load(); remaining > 0 {
 		entry.log.Warnf("stopping before %d requests have ended", remaining)
 	}
+	select {
+	case <-left:
+	case <-leaveCtx.Done():
+		entry.log.Warnf("stopping before the share of the rates and the planner's lease are known to be given up: %v", leaveCtx.Err())
+	}
 	return err
 }
 
+// leave gives up the share of the rates and the planner's lease, so that other entries need not wait
+// until these expire.
+func (entry *Entry) leave(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { entry.quota.Leave(ctx) })
+	group.Go(func() { entry.planner.release(ctx) })
+	group.Wait()
+}
+
 // endCallers accepts no more connections and waits until those of callers have ended. The
 // HTTP library's own shutdown is not used: it closes connections without looking at what
 // they hold, and drops requests that it reads meanwhile.
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -103,10 +103,20 @@
 	planner.leaseDriver().Execute(ctx, effects)
 }
 
-// release gives up the lease, so that another entry can plan before it expires.
+// release gives up the lease, so that another entry can plan before it expires. It returns once the
+// object API has taken this, or ctx ends; run tries again meanwhile.
 func (planner *planner) release(ctx context.Context) {
 	effects := planner.withLease(func(current *lease.Lease, now time.Time) []lease.Effect { return current.Release(now) })
 	planner.leaseDriver().Execute(ctx, effects)
+	for !planner.leaseGivenUp() && ctx.Err() == nil {
+		planner.entry.sleep(ctx, drainPollInterval)
+	}
+}
+
+func (planner *planner) leaseGivenUp() bool {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	return planner.lease == nil || planner.lease.GivenUp()
 }
 
 // address returns the peer address of the entry that is the planner, empty if
--- a/entry/entry/shares.go
+++ b/entry/entry/shares.go
@@ -217,12 +217,22 @@
 // Peers returns the addresses of the other entries that hold shares.
 func (shares *shares) Peers() []string { return *shares.peers.Load() }
 
-// Leave gives up the share and notifies other entries.
+// Leave gives up the share and notifies other entries. It returns once the object API has taken the
+// share out of the table, or ctx ends; Run tries again meanwhile.
 func (shares *shares) Leave(ctx context.Context) {
 	shares.execute(ctx, shares.step(func(share *quota.Share, now time.Time) []quota.ShareEffect { return share.Leave(now) }))
+	for !shares.left() && ctx.Err() == nil {
+		shares.entry.sleep(ctx, drainPollInterval)
+	}
 	shares.notifyPeers(ctx)
 }
 
+func (shares *shares) left() bool {
+	shares.mu.Lock()
+	defer shares.mu.Unlock()
+	return shares.share == nil || shares.share.Left()
+}
+
 // Reserve takes tokens from a customer's bucket at this entry. If they do not
 // suffice, it borrows from other entries and tries once more.
 func (shares *shares) Reserve(customer string, tokens int) *code.Fault {
--- a/kernel/quota/share.go
+++ b/kernel/quota/share.go
@@ -33,6 +33,7 @@
 	nextRenewal time.Time
 	observed    map[string]observation // by holder
 	leaving     bool
+	left        bool // leaving, and the table has no row of this entry
 	tableAbsent bool // the last read found no table
 }
 
@@ -141,12 +142,16 @@
 	return share.write(now)
 }
 
+// Left reports whether the table is known to have no row of this entry, which has called Leave.
+func (share *Share) Left() bool { return share.left }
+
 // write asks for a write of the table with the desired row of this entry, or
 // without its row if the entry is leaving.
 func (share *Share) write(now time.Time) []ShareEffect {
 	table := share.withoutExpired(now)
 	if share.leaving {
 		if _, held := table.find(share.params.Name); !held {
+			share.left = true
 			return nil
 		}
 		share.pending = &pendingWrite{}
@@ -272,6 +277,7 @@
 	}
 	if result == Written && pending.row.name == "" {
 		share.tableKnown = false
+		share.left = true
 		return nil
 	}
 	share.tableKnown = false
