--- a/agent/agent/reconcile.go
+++ b/agent/agent/reconcile.go
@@ -62,14 +62,33 @@
 }
 
 // releaseLease gives the lease up, so that the next agent of the target need not
-// wait until it expires.
+// wait until it expires. It returns once the object API has taken this, or after the
+// longest wait for an answer of it; a renewal may be in flight.
 func (agent *Agent) releaseLease(ctx context.Context) {
 	if agent.Values().String("agent.kind") == "service" {
 		return
 	}
 	effects := agent.withLease(func(targetLease *lease.Lease, now time.Time) []lease.Effect { return targetLease.Release(now) })
 	driver := lease.Driver{Store: agent.Store(), Key: agent.leaseKey(), Timeout: agent.storeTimeout(), WithLease: agent.withLease}
+	ctx, cancel := context.WithTimeout(ctx, agent.storeTimeout())
+	defer cancel()
 	driver.Execute(ctx, effects)
+	for !agent.leaseGivenUp() {
+		select {
+		case <-agent.Clock().After(releasePollInterval):
+		case <-ctx.Done():
+			agent.log.Warnf("the lease is left to expire, the object API has not answered: %v", ctx.Err())
+			return
+		}
+	}
+}
+
+const releasePollInterval = 10 * time.Millisecond
+
+func (agent *Agent) leaseGivenUp() bool {
+	givenUp := false
+	agent.Control().Do(func() { givenUp = agent.state.lease == nil || agent.state.lease.GivenUp() })
+	return givenUp
 }
 
 // syncEngine reads the engine's state and updates the ledger from it.
--- a/endiverill/internal/promise/stop_test.go
+++ b/endiverill/internal/promise/stop_test.go
@@ -161,3 +161,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(table.Holders()), 1, "%+v", table.Holders())
 }
+
+// Guards against an agent that ends while its renewal of the target's lease is in flight, and so does not
+// give the lease up: the next agent of the target gives no orders until it expires.
+func TestPromiseStoppedAgentGivesLeaseUpDuringRenewal(t *testing.T) {
+	running, _ := startDeployment(t, func(spec *deployment.Spec) {
+		spec.Agent = map[string]any{"agent.lease": time.Second} // renewed every third of it
+	})
+	targets := []string{"engine-1", "engine-2", "engine-3", "engine-4"}
+	running.Store().SetFaults(store.Faults{Delay: 250 * time.Millisecond})
+	time.Sleep(time.Second)
+	for _, target := range targets {
+		ctx, cancel := context.WithCancel(context.Background())
+		assert.NilError(t, running.Agent(target).Stop(ctx))
+		cancel() // as when the process exits
+		running.Agent(target).Kill()
+		record, err := lease.ParseRecord(stored(t, running, "targets/", "/"+target))
+		assert.NilError(t, err)
+		assert.Equal(t, record.Holder(), "", "the lease of target %s", target)
+	}
+}
