--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -171,3 +171,10 @@
 	agent.recordInvalid(request, engine.ErrTruncated)
 	assert.Equal(t, agent.Metrics().Get("responses.invalid"), int64(1))
 }
+
+// Guards against a panic of an agent that is stopped before it competes for its target's lease.
+func TestStopOfAgentThatStillStartsEnds(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, newIdleAgent(t).Stop(ctx))
+}
--- a/agent/agent/reconcile.go
+++ b/agent/agent/reconcile.go
@@ -54,10 +54,14 @@
 	driver.Execute(ctx, effects)
 }
 
-// withLease calls step with the lease in the control goroutine.
+// withLease calls step with the lease in the control goroutine, if the agent competes for it.
 func (agent *Agent) withLease(step func(targetLease *lease.Lease, now time.Time) []lease.Effect) []lease.Effect {
 	var effects []lease.Effect
-	agent.Control().Do(func() { effects = step(agent.state.lease, agent.Clock().Now()) })
+	agent.Control().Do(func() {
+		if agent.state.lease != nil {
+			effects = step(agent.state.lease, agent.Clock().Now())
+		}
+	})
 	return effects
 }
 
