--- a/entry/gateway/stop.go
+++ b/entry/gateway/stop.go
@@ -65,13 +65,7 @@
 	gateway.sleep(ctx, times.draining.Sub(gateway.clock.Now()))
 	gateway.startDraining()
 	gateway.logStop(times, "draining")
-	for gateway.clock.Now().Before(times.closing) && ctx.Err() == nil {
-		callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if callers.activeRequests() == 0 {
-			break
-		}
-		gateway.sleep(ctx, stopPollInterval)
-	}
+	gateway.closeIdleUntil(ctx, times.closing, func() bool { return callers.activeRequests() == 0 })
 	gateway.ending.Store(true)
 	gateway.logStop(times, "no further requests are admitted")
 	pause := func() bool {
@@ -80,13 +74,7 @@
 	}
 	callers.stopAccepting(pause)
 	gateway.logStop(times, "the listener of callers is closed")
-	for gateway.clock.Now().Before(times.end) && ctx.Err() == nil {
-		callers.closeIdle(gateway.clock.Now().Add(-newConnGrace))
-		if callers.open() == 0 {
-			break
-		}
-		gateway.sleep(ctx, stopPollInterval)
-	}
+	gateway.closeIdleUntil(ctx, times.end, func() bool { return callers.open() == 0 })
 	gateway.logStop(times, "open requests end")
 	gateway.endRequests(ctx)
 	gateway.origins.handOver()
@@ -95,6 +83,18 @@
 	return ctx.Err()
 }
 
+// closeIdleUntil closes the callers' connections that hold no request, until done reports true, the
+// end is reached or ctx ends.
+func (gateway *Gateway) closeIdleUntil(ctx context.Context, end time.Time, done func() bool) {
+	for gateway.clock.Now().Before(end) && ctx.Err() == nil {
+		gateway.callers.Load().closeIdle(gateway.clock.Now().Add(-newConnGrace))
+		if done() {
+			return
+		}
+		gateway.sleep(ctx, stopPollInterval)
+	}
+}
+
 // logStop logs how long after its beginning a stop has reached a step.
 func (gateway *Gateway) logStop(times stopTimes, step string) {
 	gateway.log.Infof("stop: %s after %v, %d requests are open", step, gateway.clock.Now().Sub(times.signalled), gateway.callers.Load().activeRequests())
