--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -99,10 +99,12 @@
 }
 
 func (planRunner *planRunner) run(ctx context.Context) error {
+	var calls sync.WaitGroup // for the lease
+	defer calls.Wait()
 	for ctx.Err() == nil {
 		now := planRunner.gateway.clock.Now()
 		if planRunner.gateway.ready() && planRunner.shouldLead(now) {
-			planRunner.renew(ctx, now)
+			planRunner.renew(ctx, now, &calls)
 		}
 		planRunner.updateRemoteAgents(ctx)
 		planRunner.plan(ctx)
@@ -151,13 +153,23 @@
 	return planRunner.fence() != 0 || planRunner.gateway.peers.otherPlanner(plannerTimeout, now) == 0
 }
 
-// renew acquires or renews the lease when that is due.
-func (planRunner *planRunner) renew(ctx context.Context, now time.Time) {
+// renew begins to acquire or renew the lease when that is due, and starts a planning round early if the
+// lease was acquired. Planning does not wait for it, as the store may not answer while the lease still lasts.
+func (planRunner *planRunner) renew(ctx context.Context, now time.Time, calls *sync.WaitGroup) {
 	planRunner.mu.Lock()
 	effects := planRunner.lease.Tick(now)
 	planRunner.mu.Unlock()
-	planRunner.driver.Execute(ctx, effects)
-	planRunner.updateFence()
+	if len(effects) == 0 {
+		return
+	}
+	before := planRunner.fence()
+	calls.Go(func() {
+		planRunner.driver.Execute(ctx, effects)
+		planRunner.updateFence()
+		if planRunner.fence() != before {
+			planRunner.wake()
+		}
+	})
 }
 
 // updateFence updates the fence after the lease was acquired or lost.
