--- a/agent/agent/agent_test.go
+++ b/agent/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"endiverill.example/agent/internal/engine"
 	"endiverill.example/kernel/clock"
@@ -26,7 +28,12 @@
 // newIdleAgent returns an agent of which only the control loop runs.
 func newIdleAgent(t *testing.T) *Agent {
 	t.Helper()
-	values := Settings().Defaults().With("instance", t.Name()).With("agent.target", "t").With("store.address", "127.0.0.1:1").
+	return newAgentOfStore(t, "127.0.0.1:1")
+}
+
+func newAgentOfStore(t *testing.T, address string) *Agent {
+	t.Helper()
+	values := Settings().Defaults().With("instance", t.Name()).With("agent.target", "t").With("store.address", address).
 		With("agent.outcome_retention", time.Second).With("agent.start_window", 10*time.Second)
 	base, err := instance.New("agent", values, logs.Discard(), clock.System{})
 	assert.NilError(t, err)
@@ -178,3 +185,46 @@
 	defer cancel()
 	assert.NilError(t, newIdleAgent(t).Stop(ctx))
 }
+
+// Guards against an agent that does not read its engine while the object API does not answer: what the engine
+// has loaded meanwhile, an adapter that a request waits for among it, is used late.
+func TestEngineIsReadWhileObjectAPIDoesNotAnswer(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, silent.Close()) }()
+	var state atomic.Value
+	state.Store(`{}`)
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte(state.Load().(string)))
+	}))
+	defer target.Close()
+	agent := newAgentOfStore(t, silent.Addr().String())
+	agent.client = engine.New(strings.TrimPrefix(target.URL, "http://"), time.Second, clock.System{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- agent.reconcile(ctx) }()
+	time.Sleep(300 * time.Millisecond)
+	state.Store(`{"resident":[{"name":"m","state":"ready"}]}`)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if agent.holds(&wire.Request{Model: "m"}) {
+			return poll.Success()
+		}
+		return poll.Continue("the agent does not know of the model")
+	}, poll.WithTimeout(time.Second), poll.WithDelay(10*time.Millisecond)) // looks are 250 ms apart, a call to the object API lasts 2 s
+	cancel()
+	assert.NilError(t, <-done)
+}
+
+// The same for the reading of the stored plan, before a model is unloaded.
+func TestOrdersDoNotWaitForStoredPlan(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, silent.Close()) }()
+	agent := newAgentOfStore(t, silent.Addr().String())
+	agent.state.reconciler = placement.NewReconciler("t", memory.New(100, time.Second, time.Time{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begun := time.Now()
+	agent.carryOutEffects(ctx, []placement.ReconcilerEffect{placement.ReadStoredPlan{}})
+	assert.Assert(t, time.Since(begun) < 250*time.Millisecond, "the next look at the engine waits for %v", time.Since(begun))
+}
--- a/agent/agent/reconcile.go
+++ b/agent/agent/reconcile.go
@@ -16,7 +16,8 @@
 
 // reconcile reconciles the engine with the plan until ctx ends: it renews the
 // target's lease, reads the engine's state, and gives the orders that are due. It
-// returns at once for a plain service, which has no lease.
+// returns at once for a plain service, which has no lease. It does not wait for the
+// object API: calls to it run beside the loop.
 func (agent *Agent) reconcile(ctx context.Context) error {
 	if agent.Values().String("agent.kind") == "service" {
 		return nil
@@ -46,12 +47,20 @@
 	return "targets/" + agent.Values().String("site") + "/" + agent.target
 }
 
-// maintainLease takes or renews the lease when that is due.
+// maintainLease begins to take or renew the lease when that is due.
 func (agent *Agent) maintainLease(ctx context.Context) {
-	var effects []lease.Effect
-	agent.Control().Do(func() { effects = agent.state.lease.Tick(agent.Clock().Now()) })
-	driver := lease.Driver{Store: agent.Store(), Key: agent.leaseKey(), Timeout: agent.storeTimeout(), WithLease: agent.withLease}
-	driver.Execute(ctx, effects)
+	effects := agent.withLease(func(targetLease *lease.Lease, now time.Time) []lease.Effect { return targetLease.Tick(now) })
+	if len(effects) == 0 {
+		return
+	}
+	go func() {
+		agent.leaseDriver().Execute(ctx, effects)
+		agent.wakeReconcile()
+	}()
+}
+
+func (agent *Agent) leaseDriver() lease.Driver {
+	return lease.Driver{Store: agent.Store(), Key: agent.leaseKey(), Timeout: agent.storeTimeout(), WithLease: agent.withLease}
 }
 
 // withLease calls step with the lease in the control goroutine, if the agent competes for it.
@@ -73,10 +82,9 @@
 		return
 	}
 	effects := agent.withLease(func(targetLease *lease.Lease, now time.Time) []lease.Effect { return targetLease.Release(now) })
-	driver := lease.Driver{Store: agent.Store(), Key: agent.leaseKey(), Timeout: agent.storeTimeout(), WithLease: agent.withLease}
 	ctx, cancel := context.WithTimeout(ctx, agent.storeTimeout())
 	defer cancel()
-	driver.Execute(ctx, effects)
+	agent.leaseDriver().Execute(ctx, effects)
 	for !agent.leaseGivenUp() {
 		select {
 		case <-agent.Clock().After(releasePollInterval):
@@ -214,7 +222,7 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case placement.ReadStoredPlan:
-			agent.readStoredPlan(ctx)
+			go agent.readStoredPlan(ctx)
 		case placement.OrderLoad:
 			agent.Metrics().Add("orders.load", 1)
 			if effect.Model == "" {
