--- a/endiverill/internal/promise/placement_test.go
+++ b/endiverill/internal/promise/placement_test.go
@@ -10,6 +10,7 @@
 	"endiverill.example/endiverill/internal/client"
 	"endiverill.example/endiverill/internal/deployment"
 	"endiverill.example/standin/engine"
+	"endiverill.example/standin/store"
 )
 
 // emptyEngines sets up engines that start without models and have memory for two or
@@ -87,3 +88,22 @@
 	}
 	checkPeakMemory(t, running, spec)
 }
+
+// Guards against planning rounds that wait for the object API: agents are asked, and get their part of the
+// plan, only when the renewal of the planner's lease has been answered.
+func TestPromisePlannerAsksAgentsDuringRenewalOfItsLease(t *testing.T) {
+	const period = 100 * time.Millisecond
+	running, spec := startDeployment(t, func(spec *deployment.Spec) {
+		spec.Entry = map[string]any{"placement.period": period, "placement.lease": 4 * time.Second} // renewed every third of it
+	})
+	asks := func() int64 {
+		return running.Entries()[0].Metrics().Get("placement.asks") + running.Entries()[1].Metrics().Get("placement.asks")
+	}
+	waitFor(t, "an entry plans", func() bool { return asks() > 0 })
+	running.Store().SetFaults(store.Faults{Delay: 1500 * time.Millisecond})
+	time.Sleep(2 * time.Second) // until a renewal is in flight nearly all the time
+	before := asks()
+	time.Sleep(time.Second)
+	rounds := (asks() - before) / int64(len(spec.Engines))
+	assert.Assert(t, rounds >= 5, "%d rounds in a second", rounds)
+}
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -25,6 +25,7 @@
 	policy         placement.Policy
 	mu             sync.Mutex
 	lease          *lease.Lease         // guarded by mu
+	acquired       chan struct{}        // starts a round when the lease was acquired
 	reserve        *retry.Reserve       // of retries, for all entries
 	requestedAt    map[string]time.Time // last request that found no target, by model; guarded by mu
 	forecast       *placement.Forecast
@@ -55,7 +56,7 @@
 		return nil, err
 	}
 	return &planner{
-		entry: entry, log: entry.Log("placement"), policy: policy, requestedAt: map[string]time.Time{},
+		entry: entry, log: entry.Log("placement"), policy: policy, requestedAt: map[string]time.Time{}, acquired: make(chan struct{}, 1),
 		forecast: placement.NewForecast(), agents: map[string]*agentState{}, reserve: retry.NewReserve(retryLimits(entry.Values())),
 	}, nil
 }
@@ -72,12 +73,18 @@
 		Duration: values.Duration("placement.lease"), Drift: leaseClockDrift,
 	})
 	planner.mu.Unlock()
+	var calls sync.WaitGroup // for the lease
+	defer calls.Wait()
 	for ctx.Err() == nil {
-		planner.stepLease(ctx)
-		if planner.holdsLease() {
+		planner.stepLease(ctx, &calls)
+		if planner.takeUp() {
 			planner.runRound(ctx)
 		}
-		planner.entry.sleep(ctx, values.Duration("placement.period"))
+		select {
+		case <-planner.entry.Clock().After(values.Duration("placement.period")):
+		case <-planner.acquired:
+		case <-ctx.Done():
+		}
 	}
 	return nil
 }
@@ -98,9 +105,31 @@
 	return step(planner.lease, planner.entry.Clock().Now())
 }
 
-func (planner *planner) stepLease(ctx context.Context) {
+// stepLease begins to acquire or renew the lease when that is due. Rounds do not wait for it, as the
+// object API may not answer while the lease still lasts; one starts at once when the lease was acquired.
+func (planner *planner) stepLease(ctx context.Context, calls *sync.WaitGroup) {
 	effects := planner.withLease(func(current *lease.Lease, now time.Time) []lease.Effect { return current.Tick(now) })
-	planner.leaseDriver().Execute(ctx, effects)
+	if len(effects) == 0 {
+		return
+	}
+	before, _ := planner.heldFence()
+	calls.Go(func() {
+		planner.leaseDriver().Execute(ctx, effects)
+		if fence, held := planner.heldFence(); !held || fence == before {
+			return
+		}
+		select {
+		case planner.acquired <- struct{}{}:
+		default: // a round is due already
+		}
+	})
+}
+
+// heldFence returns the fence of the lease, and whether the lease is certain to be held now.
+func (planner *planner) heldFence() (fence uint64, held bool) {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	return planner.lease.Held(planner.entry.Clock().Now())
 }
 
 // release gives up the lease, so that another entry can plan before it expires. It returns once the
@@ -131,13 +160,11 @@
 	return address
 }
 
-// holdsLease reports whether this entry is the planner. When it has acquired the
+// takeUp reports whether this entry is the planner. When it has acquired the
 // lease anew, it discards its plan, so that the next round reads the stored one, and opens
 // the reserve of retries.
-func (planner *planner) holdsLease() bool {
-	planner.mu.Lock()
-	defer planner.mu.Unlock()
-	fence, held := planner.lease.Held(planner.entry.Clock().Now())
+func (planner *planner) takeUp() bool {
+	fence, held := planner.heldFence()
 	if held && fence != planner.fence {
 		planner.fence, planner.plan = fence, nil
 		planner.reserve.Open(fence, planner.entry.Clock().Now())
@@ -146,6 +173,13 @@
 	return held
 }
 
+// mayWrite reports whether this entry has been the planner since the round began: the lease may be
+// lost and acquired again meanwhile, and others may have planned in between.
+func (planner *planner) mayWrite() bool {
+	fence, held := planner.heldFence()
+	return held && fence == planner.fence
+}
+
 // runRound polls the agents, makes the next plan, stores it if it has changed, and
 // sends it to the agents.
 func (planner *planner) runRound(ctx context.Context) {
@@ -157,7 +191,7 @@
 	planner.pollAgents(ctx, document)
 	input := planner.policyInput(document)
 	next := placement.Next(planner.policy, input)
-	if !next.Equal(planner.plan) && planner.holdsLease() {
+	if !next.Equal(planner.plan) && planner.mayWrite() {
 		planner.writePlan(ctx, next)
 	}
 	planner.publishExplanations(input)
