--- a/entry/entry/entry_test.go
+++ b/entry/entry/entry_test.go
@@ -20,9 +20,14 @@
 
 // newIdleEntry returns an entry that does not run.
 func newIdleEntry(t *testing.T) *Entry {
+	t.Helper()
+	return newIdleEntryAt(t, clock.System{})
+}
+
+func newIdleEntryAt(t *testing.T, now clock.Clock) *Entry {
 	t.Helper()
 	values := Settings().Defaults().With("instance", t.Name()).With("store.address", "127.0.0.1:1")
-	base, err := instance.New("entry", values, logs.Discard(), clock.System{})
+	base, err := instance.New("entry", values, logs.Discard(), now)
 	assert.NilError(t, err)
 	entry, err := New(base)
 	assert.NilError(t, err)
--- a/entry/entry/planner.go
+++ b/entry/entry/planner.go
@@ -42,6 +42,7 @@
 // agentState is the last load report of a target's agent.
 type agentState struct {
 	seenAt         time.Time
+	silentSince    time.Time // when the first question without an answer after seenAt was asked, zero if there is none
 	incarnation    uint64
 	appliedVersion uint64 // of the plan that the agent has applied, 0 if unknown
 	loadedModels   []string
@@ -247,6 +248,7 @@
 
 // pollAgents queries the detailed load of every engine from its agent.
 func (planner *planner) pollAgents(ctx context.Context, document *config.Document) {
+	askedAt := planner.entry.Clock().Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var group sync.WaitGroup
@@ -270,11 +272,12 @@
 	}
 	group.Wait()
 	for index, target := range document.Targets() {
-		planner.recordAgentLoad(target.Name(), loads[index])
+		planner.recordAgentLoad(target.Name(), loads[index], askedAt)
 	}
 }
 
-func (planner *planner) recordAgentLoad(target string, load *wire.Load) {
+// recordAgentLoad records the answer of an agent to a question asked at askedAt, nil if there was none.
+func (planner *planner) recordAgentLoad(target string, load *wire.Load, askedAt time.Time) {
 	now := planner.entry.Clock().Now()
 	agent := planner.agents[target]
 	if agent == nil {
@@ -282,10 +285,14 @@
 		planner.agents[target] = agent
 	}
 	if load == nil || load.Target != target {
-		agent.live = now.Sub(agent.seenAt) < maxAgentSilence && agent.live
+		if agent.silentSince.IsZero() {
+			agent.silentSince = askedAt
+		}
+		agent.live = now.Sub(agent.silentSince) < maxAgentSilence && agent.live
 		agent.appliedVersion = 0
 		return
 	}
+	agent.silentSince = time.Time{}
 	offeredWork := map[string]uint64{}
 	for _, modelWork := range load.Offered {
 		offeredWork[modelWork.Model] = modelWork.Work
@@ -301,7 +308,7 @@
 }
 
 // maxAgentSilence is how long an agent may fail to answer before the models of its
-// target are placed elsewhere.
+// target are placed elsewhere. A time in which nobody asked does not count.
 const maxAgentSilence = 3 * time.Second
 
 // addDemand adds the work that an agent was offered since its last report to the
