--- a/entry/gateway/planrunner.go
+++ b/entry/gateway/planrunner.go
@@ -166,7 +166,7 @@
 	calls.Go(func() {
 		planRunner.driver.Execute(ctx, effects)
 		planRunner.updateFence()
-		if planRunner.fence() != before {
+		if fence := planRunner.fence(); fence != 0 && fence != before {
 			planRunner.wake()
 		}
 	})
